--- /dev/null
+++ b/src/main/java/bramblespool/coordination/Commit.java
@@ -0,0 +1,279 @@
+package bramblespool.coordination;
+
+import bramblespool.protocol.Orders;
+import bramblespool.state.Config;
+import bramblespool.state.Ledger;
+import bramblespool.state.Log;
+import bramblespool.state.Log.Event;
+import bramblespool.transport.Clock;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.gson.JsonObject;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** The leader's side of the shadow commit: one change at a time through the four phases. */
+public final class Commit {
+    /** Carries one phase to the wefts through their cells; the answer lists who acknowledged and who refused. */
+    public interface Cells {
+        void phase(ObjectNode message, Set<String> wefts, long timeoutMs, Consumer<Acks> answer);
+    }
+
+    public record Acks(Set<String> confirmed, Set<String> refused) {
+    }
+
+    /** Milliseconds, ratios to {@code ack} and {@code apply}. */
+    public record Times(long distribute, long phase, long latency) {
+        public static Times of(long ack, long apply) {
+            return new Times(ack * 6 / 100, apply * 8 / 100, apply / 50);
+        }
+    }
+
+    private record Order(Orders.Change change, Consumer<Orders.Outcome> done) {
+    }
+
+    private static final int TRIES = 2;
+
+    private final Quorum quorum;
+    private final Ledger ledger;
+    private final Cells cells;
+    private final Supplier<Set<String>> members;
+    private final Clock clock;
+    private final Times times;
+    private final Log log;
+    private final ArrayDeque<Order> queue = new ArrayDeque<>();
+    private boolean busy;
+    private long lead;
+    private Config compiled;
+    private Set<String> unconfirmed = new HashSet<>();
+
+    public Commit(Quorum quorum, Ledger ledger, Cells cells, Supplier<Set<String>> members, Clock clock, Times times,
+            Log log) {
+        this.quorum = quorum;
+        this.ledger = ledger;
+        this.cells = cells;
+        this.members = members;
+        this.clock = clock;
+        this.times = times;
+        this.log = log;
+    }
+
+    public Set<String> unconfirmed() {
+        return unconfirmed;
+    }
+
+    /** Takes up, as the new leader, what the last one left. */
+    public void leading(boolean leads) {
+        lead++;
+        busy = false;
+        if (!leads) {
+            while (!queue.isEmpty()) {
+                queue.poll().done.accept(Orders.Outcome.unclear("no longer the leader"));
+            }
+            return;
+        }
+        if (ledger.candidate() != null) {
+            busy = true;
+            abort(ledger.candidate().epoch(), "left by the last leader", this::resume);
+        } else {
+            resume();
+        }
+    }
+
+    private void resume() {
+        if (ledger.current().epoch() > 0 && ledger.phase() != Ledger.Phase.MARKED) {
+            busy = true;
+            log.say(Event.COMMIT_TAKEN_OVER, "epoch", ledger.current().epoch(), "phase", ledger.phase());
+            tagPacket(ledger.current().epoch(), members.get());
+        } else {
+            next();
+        }
+    }
+
+    public void submit(Orders.Change change, Consumer<Orders.Outcome> done) {
+        queue.add(new Order(change, done));
+        if (!busy) {
+            next();
+        }
+    }
+
+    private void next() {
+        busy = false;
+        while (!busy && !queue.isEmpty()) {
+            start(queue.poll());
+        }
+    }
+
+    private void start(Order o) {
+        Orders.Change change = o.change;
+        if (ledger.taken(change.digest())) {
+            o.done.accept(Orders.Outcome.taken(ledger.current().epoch()));
+            return;
+        }
+        Config config;
+        try {
+            if (change.base() != ledger.current().epoch()) {
+                refuse(o, Orders.Outcome.stale(ledger.current().epoch()));
+                return;
+            }
+            JsonObject whole = change.whole(currentConfig());
+            String document = whole.toString();
+            config = Config.compile(whole, document);
+        } catch (Config.Invalid e) {
+            refuse(o, Orders.Outcome.invalid(e.getMessage()));
+            return;
+        }
+        if (config.epoch <= ledger.current().epoch()) {
+            refuse(o, Orders.Outcome.invalid("epoch: must be above " + ledger.current().epoch()));
+            return;
+        }
+        busy = true;
+        long mine = lead;
+        ObjectNode e = Ledger.entry("candidate").put("epoch", config.epoch).put("base", change.base())
+                .put("digest", change.digest()).put("doc", config.document);
+        quorum.propose(e, ok -> {
+            if (!ok || mine != lead) {
+                o.done.accept(Orders.Outcome.unclear("the lead was lost"));
+                return;
+            }
+            log.say(Event.CANDIDATE, "epoch", config.epoch, "base", change.base());
+            compiled = config;
+            distribute(o, config, members.get(), TRIES);
+        });
+    }
+
+    private void refuse(Order o, Orders.Outcome outcome) {
+        log.say(Event.CONFIG_REFUSED, "status", outcome.status(), "why", outcome.word());
+        o.done.accept(outcome);
+    }
+
+    private Config currentConfig() throws Config.Invalid {
+        Ledger.Version v = ledger.current();
+        if (v.document() == null) {
+            return null;
+        }
+        if (compiled == null || compiled.epoch != v.epoch()) {
+            compiled = Config.compile(v.document());
+        }
+        return compiled;
+    }
+
+    private static ObjectNode message(int phase, long old, long fresh) {
+        return JsonNodeFactory.instance.objectNode().put("phase", phase).put("old", old).put("new", fresh);
+    }
+
+    /** Phase 1, TAG DISTRIBUTION: the candidate and its tags. A missing acknowledgement aborts this try. */
+    private void distribute(Order o, Config config, Set<String> wefts, int triesLeft) {
+        long mine = lead;
+        ObjectNode m = message(1, ledger.current().epoch(), config.epoch).put("doc", config.document);
+        cells.phase(m, wefts, times.distribute, acks -> {
+            if (mine != lead) {
+                o.done.accept(Orders.Outcome.unclear("the lead was lost"));
+                return;
+            }
+            if (!acks.refused.isEmpty()) {
+                abort(config.epoch, "refused by " + acks.refused, () -> {
+                    o.done.accept(Orders.Outcome.unclear("refused by " + acks.refused));
+                    next();
+                });
+                return;
+            }
+            Set<String> silent = new HashSet<>(wefts);
+            silent.removeAll(acks.confirmed);
+            if (silent.isEmpty()) {
+                decide(o, config, acks.confirmed);
+                return;
+            }
+            // The try without the silent ones: the others go back first, then the tags are given out anew.
+            log.say(Event.COMMIT_UNCONFIRMED, "epoch", config.epoch, "wefts", silent);
+            if (triesLeft <= 1) {
+                decide(o, config, acks.confirmed);
+                return;
+            }
+            cells.phase(message(0, ledger.current().epoch(), config.epoch), acks.confirmed, times.phase,
+                    x -> distribute(o, config, acks.confirmed, triesLeft - 1));
+        });
+    }
+
+    private void abort(long epoch, String why, Runnable then) {
+        long mine = lead;
+        log.say(Event.COMMIT_ABORTED, "epoch", epoch, "why", why);
+        cells.phase(message(0, ledger.current().epoch(), epoch), members.get(), times.phase, x -> { });
+        quorum.propose(Ledger.entry("abort").put("epoch", epoch), ok -> {
+            if (ok && mine == lead) {
+                then.run();
+            }
+        });
+    }
+
+    /** The point of no return. */
+    private void decide(Order o, Config config, Set<String> confirmed) {
+        long mine = lead;
+        quorum.propose(Ledger.entry("decide").put("epoch", config.epoch), ok -> {
+            if (!ok || ledger.current().epoch() < config.epoch) {
+                o.done.accept(Orders.Outcome.unclear("the lead was lost"));
+                return;
+            }
+            log.say(Event.COMMIT_DECIDED, "epoch", config.epoch);
+            o.done.accept(Orders.Outcome.taken(config.epoch));
+            if (mine == lead) {
+                tagPacket(config.epoch, confirmed);
+            }
+        });
+    }
+
+    /** Phase 2, TAG PACKET; then one latency bound, so that no call with a bit is under way. */
+    private void tagPacket(long epoch, Set<String> wefts) {
+        phase(2, epoch, wefts, TRIES, rest -> clock.after(times.latency, () -> swap(epoch, wefts)));
+    }
+
+    /** Phase 3, SWAP. */
+    private void swap(long epoch, Set<String> wefts) {
+        if (!quorum.leads()) {
+            return;
+        }
+        long mine = lead;
+        phase(3, epoch, wefts, 1, rest -> quorum.propose(
+                Ledger.entry("phase").put("epoch", epoch).put("phase", Ledger.Phase.SWAPPED.name()), ok -> {
+                    if (ok && mine == lead) {
+                        mark(epoch, wefts, rest);
+                    }
+                }));
+    }
+
+    /** Phase 4, MARK SHADOW BIT. */
+    private void mark(long epoch, Set<String> wefts, Set<String> silentAtSwap) {
+        long mine = lead;
+        phase(4, epoch, wefts, TRIES, rest -> quorum.propose(
+                Ledger.entry("phase").put("epoch", epoch).put("phase", Ledger.Phase.MARKED.name()), ok -> {
+                    if (ok && mine == lead) {
+                        unconfirmed = new HashSet<>(members.get());
+                        unconfirmed.removeAll(wefts);
+                        unconfirmed.addAll(silentAtSwap);
+                        unconfirmed.addAll(rest);
+                        log.say(Event.COMMIT_DONE, "epoch", epoch, "unconfirmed", unconfirmed);
+                        next();
+                    }
+                }));
+    }
+
+    /** One phase, repeated for those who have not confirmed it; goes on with the silent ones left unconfirmed. */
+    private void phase(int phase, long epoch, Set<String> wefts, int triesLeft, Consumer<Set<String>> then) {
+        long mine = lead;
+        cells.phase(message(phase, ledger.previous().epoch(), epoch), wefts, times.phase, acks -> {
+            if (mine != lead) {
+                return;
+            }
+            Set<String> rest = new HashSet<>(wefts);
+            rest.removeAll(acks.confirmed);
+            if (rest.isEmpty() || triesLeft <= 1) {
+                then.accept(rest);
+            } else {
+                phase(phase, epoch, rest, triesLeft - 1, then);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/bramblespool/coordination/Gate.java
@@ -0,0 +1,395 @@
+package bramblespool.coordination;
+
+import bramblespool.protocol.Beat;
+import bramblespool.state.Log;
+import bramblespool.state.Log.Event;
+import bramblespool.transport.Clock;
+import it.unimi.dsi.fastutil.longs.LongArrayFIFOQueue;
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * The one gate to this machine's server: identity, capacity, warm-up, draining, evacuation. A refusal here is no
+ * arrival at the server, and a promise that the request has not run.
+ */
+public final class Gate {
+    /** Why a request was not let through, and when to come back. */
+    public record Refusal(String why, long retryMs) {
+    }
+
+    /** Figures of the rules, as the settings give them. */
+    public record Rules(long beat, long drain, double warmExcess, double warmSlack) {
+    }
+
+    /** One request at the gate. */
+    public final class Ticket {
+        private final String route;
+        private final int rank;
+        private final long deadline;
+        private final Runnable go;
+        private final Consumer<Refusal> refused;
+        private long started;
+        private String server;
+        private Clock.Timer late;
+
+        private Ticket(String route, int rank, long deadline, Runnable go, Consumer<Refusal> refused) {
+            this.route = route;
+            this.rank = rank;
+            this.deadline = deadline;
+            this.go = go;
+            this.refused = refused;
+        }
+
+        /** The id of the server it was let through to. */
+        public String server() {
+            return server;
+        }
+
+        /** Frees the slot; {@code worked} where the time it took tells how long such requests work. */
+        public void done(boolean worked) {
+            if (server == null) {
+                return;
+            }
+            boolean same = server.equals(id);
+            server = null;
+            if (same) {
+                running--;
+                if (worked) {
+                    learn(route, clock.now() - started);
+                }
+            }
+            drainQueue();
+        }
+
+        /** The caller went away before the request was let through. */
+        public void abandon() {
+            if (server == null) {
+                queue.remove(this);
+                cancel();
+            }
+        }
+
+        private void cancel() {
+            if (late != null) {
+                late.cancel();
+                late = null;
+            }
+        }
+    }
+
+    /** Queue at most this many times the capacity: beyond it no deadline in use could be kept. */
+    private static final int QUEUE_PER_SLOT = 4;
+    /** Share of a cold server's hard bound that is used, so that a late arrival never crosses it. */
+    private static final double WARM_SHARE = 0.62;
+    private static final long SECOND = 1000;
+    private static final double LEARN = 0.1;
+    private static final double FIRST_GUESS_MS = 100;
+    /** Beats missed before the server is taken for silent. */
+    private static final double SILENT_BEATS = 2.4;
+
+    private final Clock clock;
+    private final Log log;
+    private final Rules rules;
+    private final String ownAddress;
+    private final String target;
+    private final Runnable changed;
+    private String id;
+    private int capacity;
+    private boolean draining;
+    private long drainingSince;
+    private boolean down;
+    private boolean evacuated;
+    private boolean doubt = true;
+    private long coldUntil;
+    private double warmPerS;
+    private long lastBeat;
+    private long lastSeq = -1;
+    private int running;
+    private final Set<String> ended = new HashSet<>();
+    private final List<Ticket> queue = new ArrayList<>();
+    private final LongArrayFIFOQueue arrivals = new LongArrayFIFOQueue();
+    private final Object2DoubleOpenHashMap<String> work = new Object2DoubleOpenHashMap<>();
+    private double meanWork = FIRST_GUESS_MS;
+    private Clock.Timer warmTimer;
+
+    public Gate(Clock clock, Rules rules, String ownAddress, String target, Runnable changed, Log log) {
+        this.clock = clock;
+        this.rules = rules;
+        this.ownAddress = ownAddress;
+        this.target = target;
+        this.changed = changed;
+        this.log = log;
+        work.defaultReturnValue(-1);
+    }
+
+    // ---- what the server says
+
+    /** Takes a beat; null where it is acknowledged, else what is wrong with it. */
+    public String beat(Beat b) {
+        if (!b.target().equals(target)) {
+            return "target: this machine's server is of " + target;
+        }
+        if (!b.address().equals(ownAddress)) {
+            return "address: this machine's server is at " + ownAddress;
+        }
+        if (ended.contains(b.id()) || b.id().equals(id) && b.callSeq() <= lastSeq) {
+            return null;
+        }
+        boolean fresh = !b.id().equals(id);
+        if (fresh) {
+            if (id != null) {
+                ended.add(id);
+            }
+            id = b.id();
+            running = 0;
+            draining = false;
+            arrivals.clear();
+            log.say(Event.SERVER_NEW, "server", id, "capacity", b.capacity(), "cold", b.warmupLeft());
+        } else if (down) {
+            log.say(Event.SERVER_BACK, "server", id);
+        }
+        long now = clock.now();
+        boolean wasCold = cold(now);
+        boolean news = fresh || down || b.draining() && !draining || b.capacity() != capacity;
+        down = false;
+        doubt = false;
+        lastBeat = now;
+        lastSeq = b.callSeq();
+        capacity = b.capacity();
+        coldUntil = b.warmupLeft() > 0 ? now + b.warmupLeft() : 0;
+        if (b.draining() && !draining) {
+            draining = true;
+            drainingSince = now;
+            log.say(Event.SERVER_DRAINING, "server", id);
+        }
+        if (news || wasCold != cold(now)) {
+            changed.run();
+        }
+        drainQueue();
+        return null;
+    }
+
+    public void leave(String which) {
+        ended.add(which);
+        if (which.equals(id)) {
+            gone(Event.SERVER_GONE);
+        }
+    }
+
+    /** Its port refused or stayed silent: nothing more goes there until it beats again. */
+    public void unreachable(String which) {
+        if (which.equals(id) && !down) {
+            gone(Event.SERVER_SILENT);
+        }
+    }
+
+    private void gone(Event event) {
+        if (!down) {
+            log.say(event, "server", id);
+        }
+        down = true;
+        doubt = true;
+        changed.run();
+        refuseAll();
+    }
+
+    /** To be called now and then. */
+    public void check() {
+        long now = clock.now();
+        if (id != null && !down && now - lastBeat > rules.beat * SILENT_BEATS) {
+            gone(Event.SERVER_SILENT);
+        }
+    }
+
+    /** This process itself stood still: what the server said before may no longer be true. */
+    public void paused() {
+        doubt = true;
+    }
+
+    public void evacuated(boolean on) {
+        if (evacuated && !on) {
+            // It may have gone cold meanwhile: the next beat tells.
+            doubt = true;
+        }
+        evacuated = on;
+        if (on) {
+            refuseAll();
+        }
+    }
+
+    public void warmPerS(double perS) {
+        warmPerS = perS;
+    }
+
+    // ---- what others may know
+
+    public String id() {
+        return id;
+    }
+
+    /** Whether callers should send here at all. */
+    public boolean open() {
+        return id != null && !down && !draining;
+    }
+
+    public int capacity() {
+        return capacity;
+    }
+
+    public int load() {
+        return running + queue.size();
+    }
+
+    public long coldLeft() {
+        long now = clock.now();
+        return doubt ? rules.beat : Math.max(0, coldUntil - now);
+    }
+
+    private boolean cold(long now) {
+        return doubt || coldUntil > now;
+    }
+
+    /** How long a request that came now would wait for a slot. */
+    public long waitNow() {
+        if (running < capacity && queue.isEmpty()) {
+            return 0;
+        }
+        return (long) (meanWork * (queue.size() + 1) / Math.max(1, capacity));
+    }
+
+    // ---- requests
+
+    /** Lets a request through, queues it, or refuses it at once. */
+    public Ticket offer(String route, int rank, long deadline, Runnable go, Consumer<Refusal> refused) {
+        Ticket t = new Ticket(route, rank, deadline, go, refused);
+        long now = clock.now();
+        Refusal no = shut(now);
+        if (no != null) {
+            refused.accept(no);
+            return t;
+        }
+        if (queue.isEmpty() && mayStart(now)) {
+            start(t, now);
+            return t;
+        }
+        int ahead = 0;
+        while (ahead < queue.size() && before(queue.get(ahead), t)) {
+            ahead++;
+        }
+        double need = expected(route);
+        double perStart = cold(now) && warmPerS > 0 ? SECOND / warmPerS : meanWork / Math.max(1, capacity);
+        double wait = (ahead + 0.5) * perStart;
+        if (queue.size() >= capacity * QUEUE_PER_SLOT || now + wait + need > deadline) {
+            refused.accept(new Refusal(cold(now) ? "cold" : "full", Math.max(20, (long) (wait + perStart))));
+            return t;
+        }
+        queue.add(ahead, t);
+        t.late = clock.after(Math.max(1, deadline - now - (long) (need * 0.7)), () -> {
+            if (queue.remove(t)) {
+                refused.accept(new Refusal("late", 0));
+            }
+        });
+        drainQueue();
+        return t;
+    }
+
+    private static boolean before(Ticket a, Ticket b) {
+        return a.rank < b.rank || a.rank == b.rank && a.deadline <= b.deadline;
+    }
+
+    private Refusal shut(long now) {
+        if (id == null || down) {
+            return new Refusal("none", rules.beat / 3);
+        }
+        if (evacuated) {
+            return new Refusal("evacuated", 0);
+        }
+        // Callers learn of the draining within a fraction of its bound; until then it still serves.
+        if (draining && now - drainingSince > rules.drain / 3) {
+            return new Refusal("draining", 0);
+        }
+        return null;
+    }
+
+    private boolean mayStart(long now) {
+        return running < capacity && (!cold(now) || warmRoom(now));
+    }
+
+    /** Room in the sliding second of a cold server. */
+    private boolean warmRoom(long now) {
+        forgetArrivals(now);
+        if (warmPerS <= 0) {
+            return true;
+        }
+        return arrivals.size() < warmBound();
+    }
+
+    private int warmBound() {
+        return (int) Math.max(1, Math.min(warmPerS * 1.1, (warmPerS * rules.warmExcess + rules.warmSlack) * WARM_SHARE));
+    }
+
+    private void forgetArrivals(long now) {
+        while (!arrivals.isEmpty() && now - arrivals.firstLong() > SECOND * 11 / 10) {
+            arrivals.dequeueLong();
+        }
+    }
+
+    private void start(Ticket t, long now) {
+        t.cancel();
+        running++;
+        forgetArrivals(now);
+        arrivals.enqueue(now);
+        t.server = id;
+        t.started = now;
+        t.go.run();
+    }
+
+    private void drainQueue() {
+        long now = clock.now();
+        while (!queue.isEmpty()) {
+            if (shut(now) != null) {
+                refuseAll();
+                return;
+            }
+            if (!mayStart(now)) {
+                break;
+            }
+            start(queue.remove(0), now);
+        }
+        if (!queue.isEmpty() && running < capacity && warmTimer == null) {
+            long wait = arrivals.isEmpty() ? 10 : Math.max(5, arrivals.firstLong() + SECOND * 11 / 10 - now);
+            warmTimer = clock.after(wait, () -> {
+                warmTimer = null;
+                drainQueue();
+            });
+        }
+    }
+
+    private void refuseAll() {
+        Refusal no = shut(clock.now());
+        if (no == null) {
+            return;
+        }
+        List<Ticket> all = new ArrayList<>(queue);
+        queue.clear();
+        for (Ticket t : all) {
+            t.cancel();
+            t.refused.accept(no);
+        }
+    }
+
+    private double expected(String route) {
+        double w = work.getDouble(route);
+        return w < 0 ? FIRST_GUESS_MS : w;
+    }
+
+    private void learn(String route, long ms) {
+        double w = work.getDouble(route);
+        work.put(route, w < 0 ? ms : w + LEARN * (ms - w));
+        meanWork += LEARN * (ms - meanWork);
+    }
+}
--- /dev/null
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -0,0 +1,393 @@
+package bramblespool.coordination;
+
+import bramblespool.protocol.Orders;
+import bramblespool.state.Ledger;
+import bramblespool.state.Log;
+import bramblespool.state.Log.Event;
+import bramblespool.state.Settings;
+import bramblespool.state.Vault;
+import bramblespool.transport.Clock;
+import bramblespool.transport.Wire;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** A helm: the cell of its zone, and a member of the agreement above the cells. */
+public final class HelmCore implements Wire.Service, Quorum.Machine {
+    /** Ratios to {@code quiet}. */
+    private static final int RENEWALS = 6;
+    private static final int CALLS = 10;
+    /** Renewals missed before a session is closed. */
+    private static final double CLOSES = 2.6;
+
+    private static final class Session {
+        String peer;
+        long life;
+        long n;
+        long seen;
+        boolean open;
+    }
+
+    private final Clock clock;
+    private final Wire wire;
+    private final Log log;
+    private Settings settings;
+    private final Ledger ledger = new Ledger();
+    public final News news;
+    public final Quorum quorum;
+    public final Commit commit;
+    private final Map<String, Session> sessions = new HashMap<>();
+    private final Set<String> members = new HashSet<>();
+    private final Map<String, Long> published = new HashMap<>();
+    private final long callMs;
+    private boolean gone;
+
+    public HelmCore(Settings settings, Vault vault, String incarnation, Clock clock, Wire wire, Log log) {
+        this.settings = settings;
+        this.clock = clock;
+        this.wire = wire;
+        this.log = log;
+        Settings.Bounds b = settings.bounds();
+        this.callMs = b.quiet() / CALLS;
+        this.news = new News(clock, wire, callMs, this::others);
+        news.author(Fleet.HELM + settings.node(), this::tellSelf);
+        news.listen(this::heard);
+        if (vault.load() == null) {
+            List<String> founders = settings.seeds().stream().map(settings::peerOf).toList();
+            boolean founds = settings.bootstrap() && founders.contains(settings.peer());
+            vault.found(founds ? Quorum.FOUNDER : incarnation,
+                    founds ? List.of(Quorum.founding(founders)) : List.of());
+        }
+        Vault.Saved saved = vault.load();
+        this.quorum = new Quorum(settings.peer() + "#" + saved.incarnation(), settings.control(),
+                Math.max(1, settings.seeds().size()), saved, clock, wire, vault, this,
+                Quorum.Times.of(b.quiet(), b.stretch()), log);
+        this.commit = new Commit(quorum, ledger, this::phase, () -> new HashSet<>(members), clock,
+                Commit.Times.of(b.ack(), b.apply()), log);
+    }
+
+    public void start() {
+        long renew = settings.bounds().quiet() / RENEWALS;
+        tellSelf();
+        publish();
+        quorum.start();
+        clock.every(renew, () -> {
+            sweep();
+            quorum.join(helms());
+        });
+        clock.every(renew, news::mend);
+    }
+
+    public void settings(Settings fresh) {
+        settings = fresh;
+    }
+
+    public Ledger ledger() {
+        return ledger;
+    }
+
+    private void tellSelf() {
+        news.tell(JsonNodeFactory.instance.objectNode().put("peer", settings.peer()).put("control", settings.control())
+                .put("zone", settings.zone()).put("gone", gone));
+    }
+
+    private void heard(News.Item i) {
+        if (i.key().startsWith(Fleet.SESSION)) {
+            String node = i.key().substring(Fleet.SESSION.length());
+            if (i.body().path("open").asBoolean()) {
+                members.add(node);
+            } else {
+                members.remove(node);
+            }
+            if (!i.body().path("helm").asText().equals(settings.peer())) {
+                sessions.remove(node);
+            }
+        }
+    }
+
+    private Set<String> helms() {
+        Set<String> out = new LinkedHashSet<>();
+        for (News.Item i : news.all()) {
+            if (i.key().startsWith(Fleet.HELM) && !i.body().path("gone").asBoolean()) {
+                out.add(i.body().path("peer").asText());
+            }
+        }
+        settings.seeds().forEach(s -> out.add(settings.peerOf(s)));
+        out.remove(settings.peer());
+        return out;
+    }
+
+    private List<String> others() {
+        Set<String> out = helms();
+        for (Session s : sessions.values()) {
+            if (s.open) {
+                out.add(s.peer);
+            }
+        }
+        return List.copyOf(out);
+    }
+
+    // ---- sessions
+
+    private ObjectNode session(JsonNode m) {
+        String node = m.path("node").asText();
+        long life = m.path("life").asLong();
+        long n = m.path("n").asLong();
+        ObjectNode out = JsonNodeFactory.instance.objectNode();
+        News.Item known = news.get(Fleet.SESSION + node);
+        Session s = sessions.get(node);
+        boolean renews = s != null && s.open && s.life == life && s.n == n;
+        if (m.path("end").asBoolean()) {
+            if (renews) {
+                close(node, s);
+            }
+            return out.put("ok", true).put("same", true);
+        }
+        if (!renews) {
+            if (known != null && (known.life() > life || known.life() == life && known.seq() >= n * 2)) {
+                return out.put("ok", false).put("life", known.life());
+            }
+            s = new Session();
+            s.peer = m.path("peer").asText();
+            s.life = life;
+            s.n = n;
+            s.open = true;
+            sessions.put(node, s);
+            log.say(Event.SESSION_OPEN, "weft", node);
+            tellSession(node, s);
+        }
+        s.seen = clock.now();
+        return out.put("ok", true).put("same", news.hash().equals(m.path("hash").asText()));
+    }
+
+    private void tellSession(String node, Session s) {
+        news.tell(Fleet.SESSION + node, s.life, s.n * 2 + (s.open ? 0 : 1), JsonNodeFactory.instance.objectNode()
+                .put("helm", settings.peer()).put("weft", s.peer).put("open", s.open));
+    }
+
+    private void close(String node, Session s) {
+        s.open = false;
+        log.say(Event.SESSION_CLOSED, "weft", node);
+        tellSession(node, s);
+    }
+
+    private void sweep() {
+        long limit = (long) (settings.bounds().quiet() / RENEWALS * CLOSES);
+        long now = clock.now();
+        Map.copyOf(sessions).forEach((node, s) -> {
+            if (s.open && now - s.seen > limit) {
+                close(node, s);
+            }
+        });
+    }
+
+    // ---- phases, through the cells
+
+    private void phase(ObjectNode message, Set<String> wefts, long timeoutMs, Consumer<Commit.Acks> answer) {
+        Commit.Acks acks = new Commit.Acks(new HashSet<>(), new HashSet<>());
+        if (wefts.isEmpty()) {
+            answer.accept(acks);
+            return;
+        }
+        Map<String, Set<String>> byCell = new HashMap<>();
+        for (String w : wefts) {
+            News.Item i = news.get(Fleet.SESSION + w);
+            if (i != null) {
+                byCell.computeIfAbsent(i.body().path("helm").asText(), k -> new LinkedHashSet<>()).add(w);
+            }
+        }
+        int[] open = {byCell.size()};
+        boolean[] over = {false};
+        Runnable finish = () -> {
+            if (!over[0]) {
+                over[0] = true;
+                answer.accept(acks);
+            }
+        };
+        Consumer<JsonNode> one = a -> {
+            if (a != null) {
+                a.path("ok").forEach(n -> acks.confirmed().add(n.asText()));
+                a.path("refused").forEach(n -> acks.refused().add(n.asText()));
+            }
+            if (--open[0] == 0) {
+                finish.run();
+            }
+        };
+        byCell.forEach((cell, nodes) -> {
+            ObjectNode m = message.deepCopy();
+            ArrayNode list = m.putArray("wefts");
+            nodes.forEach(list::add);
+            m.put("within", timeoutMs * 4 / 5);
+            if (cell.equals(settings.peer())) {
+                cell(m, one::accept);
+            } else {
+                wire.call(cell, "cell", m, timeoutMs, one);
+            }
+        });
+    }
+
+    /** The cell's part: hands the phase to its wefts and gathers their answers. */
+    private void cell(JsonNode m, Consumer<ObjectNode> answer) {
+        ObjectNode out = JsonNodeFactory.instance.objectNode();
+        ArrayNode ok = out.putArray("ok");
+        ArrayNode refused = out.putArray("refused");
+        ObjectNode plain = ((ObjectNode) m).deepCopy();
+        plain.remove(List.of("wefts", "within"));
+        int[] open = {1};
+        Runnable one = () -> {
+            if (--open[0] == 0) {
+                answer.accept(out);
+            }
+        };
+        for (JsonNode w : m.path("wefts")) {
+            Session s = sessions.get(w.asText());
+            if (s == null || !s.open) {
+                continue;
+            }
+            open[0]++;
+            wire.call(s.peer, "phase", plain, m.path("within").asLong(), a -> {
+                if (a != null && a.path("ok").asBoolean()) {
+                    ok.add(w.asText());
+                } else if (a != null && a.path("refused").asBoolean()) {
+                    refused.add(w.asText());
+                }
+                one.run();
+            });
+        }
+        one.run();
+    }
+
+    // ---- what is agreed
+
+    @Override
+    public void apply(long index, JsonNode entry) {
+        ledger.apply(index, entry);
+        publish();
+    }
+
+    @Override
+    public ObjectNode snapshot() {
+        return ledger.snapshot();
+    }
+
+    @Override
+    public void restore(JsonNode data) {
+        ledger.restore(data);
+        publish();
+    }
+
+    @Override
+    public void leading(boolean leads) {
+        commit.leading(leads);
+    }
+
+    /** Tells in the news what the ledger holds. */
+    private void publish() {
+        if (ledger.current().epoch() > 0) {
+            news.tell(Fleet.ORDER, ledger.current().epoch(), ledger.phase().ordinal(),
+                    JsonNodeFactory.instance.objectNode().put("epoch", ledger.current().epoch())
+                            .put("old", ledger.previous().epoch()).put("phase", ledger.phase().name()));
+        }
+        ledger.evacuations().forEach((zone, e) -> {
+            if (published.getOrDefault(zone, 0L) < e.index()) {
+                published.put(zone, e.index());
+                news.tell(Fleet.EVAC + zone, e.index(), 0, JsonNodeFactory.instance.objectNode().put("on", e.on()));
+            }
+        });
+    }
+
+    // ---- the operator
+
+    public void change(Orders.Change change, Consumer<Orders.Outcome> done) {
+        if (!quorum.leads()) {
+            done.accept(Orders.Outcome.unclear("not the leader"));
+            return;
+        }
+        if (ledger.taken(change.digest())) {
+            quorum.confirm(ok -> done.accept(ok ? Orders.Outcome.taken(ledger.current().epoch())
+                    : Orders.Outcome.unclear("no quorum")));
+            return;
+        }
+        commit.submit(change, done);
+    }
+
+    public void evacuate(String zone, boolean on, Consumer<Boolean> done) {
+        Ledger.Evacuation e = ledger.evacuations().get(zone);
+        if (quorum.leads() && (e == null ? !on : e.on() == on)) {
+            quorum.confirm(done);
+            return;
+        }
+        quorum.propose(Ledger.entry("evac").put("zone", zone).put("on", on), done);
+    }
+
+    /** The newest version, confirmed by a quorum; null where that fails. */
+    public void read(Consumer<Ledger.Version> done) {
+        quorum.confirm(ok -> done.accept(ok ? ledger.current() : null));
+    }
+
+    // ---- peers
+
+    @Override
+    public void serve(String kind, JsonNode m, Consumer<ObjectNode> answer) {
+        if (quorum.serve(kind, m, answer) || news.serve(kind, m, answer)) {
+            return;
+        }
+        switch (kind) {
+            case "session" -> answer.accept(session(m));
+            case "cell" -> cell(m, answer);
+            case "doc" -> answer.accept(doc(m.path("epoch").asLong()));
+            case "ping" -> answer.accept(JsonNodeFactory.instance.objectNode());
+            case "status" -> answer.accept(status());
+            default -> {
+                log.once(Event.MESSAGE_DROPPED, kind, "kind", kind, "cause", "unknown");
+                answer.accept(null);
+            }
+        }
+    }
+
+    private ObjectNode doc(long epoch) {
+        for (Ledger.Version v : List.of(ledger.current(), ledger.previous())) {
+            if (v.epoch() == epoch && v.document() != null) {
+                return JsonNodeFactory.instance.objectNode().put("doc", v.document());
+            }
+        }
+        return null;
+    }
+
+    private ObjectNode status() {
+        ObjectNode n = JsonNodeFactory.instance.objectNode().put("role", "helm").put("node", settings.node())
+                .put("zone", settings.zone()).put("self", quorum.self()).put("term", quorum.term())
+                .put("leader", quorum.leaderId()).put("leads", quorum.leads()).put("epoch", ledger.current().epoch())
+                .put("phase", ledger.phase().name()).put("applied", quorum.applied());
+        ArrayNode v = n.putArray("voters");
+        quorum.voters().forEach(v::add);
+        ArrayNode u = n.putArray("unconfirmed");
+        commit.unconfirmed().forEach(u::add);
+        ObjectNode ev = n.putObject("evacuations");
+        ledger.evacuations().forEach((z, e) -> ev.put(z, e.on()));
+        ObjectNode wefts = n.putObject("wefts");
+        for (News.Item i : news.all()) {
+            if (i.key().startsWith(Fleet.WEFT)) {
+                String node = i.key().substring(Fleet.WEFT.length());
+                ObjectNode w = i.body().deepCopy();
+                wefts.set(node, w.put("member", members.contains(node)));
+            }
+        }
+        return n;
+    }
+
+    /** Leaves the group's work: gives up the lead and tells its wefts to turn elsewhere. */
+    public void leave() {
+        gone = true;
+        tellSelf();
+        quorum.stop();
+    }
+}
--- /dev/null
+++ b/src/main/java/bramblespool/coordination/Shadow.java
@@ -0,0 +1,194 @@
+package bramblespool.coordination;
+
+import bramblespool.state.Config;
+import bramblespool.state.Log;
+import bramblespool.state.Log.Event;
+import bramblespool.transport.Clock;
+
+/**
+ * A weft's side of the shadow commit: two installed versions, a two-entry map saying which is real and which is
+ * shadow, the tags of the commit under way, and how calls are marked.
+ */
+public final class Shadow {
+    /** What a mark names here. */
+    public record Choice(Config config, boolean test) {
+    }
+
+    private static final String REAL = "0";
+    private static final String TEST = "1";
+
+    private final Clock clock;
+    private final Log log;
+    private final long revertMs;
+    private final Config[] installed = new Config[2];
+    /** The map: which slot is real; the other is shadow. */
+    private int real;
+    private long tagOld = -1;
+    private long tagNew = -1;
+    private boolean tagging;
+    private boolean swapped;
+    private Clock.Timer timeout;
+    private Runnable changed = () -> { };
+
+    public Shadow(Clock clock, long revertMs, Log log) {
+        this.clock = clock;
+        this.revertMs = revertMs;
+        this.log = log;
+    }
+
+    public void onChange(Runnable r) {
+        changed = r;
+    }
+
+    public Config real() {
+        return installed[real];
+    }
+
+    public Config shadow() {
+        return installed[1 - real];
+    }
+
+    public long epoch() {
+        return real() == null ? 0 : real().epoch;
+    }
+
+    public boolean tagging() {
+        return tagging;
+    }
+
+    /** The mark for a call that starts here under the real version. */
+    public String mark() {
+        return tagging ? "t" + epoch() : REAL;
+    }
+
+    /** The version a received mark names, or null where this weft cannot tell. */
+    public Choice resolve(String mark) {
+        if (mark == null) {
+            return null;
+        }
+        if (mark.equals(REAL)) {
+            // While tags are in use an untagged call is from a weft that has not had TAG PACKET: it means C_old.
+            Config c = tagging && tagOld > 0 ? versioned(tagOld) : real();
+            return c == null ? null : new Choice(c, false);
+        }
+        if (mark.equals(TEST)) {
+            return shadow() == null ? null : new Choice(shadow(), true);
+        }
+        if (!mark.startsWith("t")) {
+            return null;
+        }
+        long epoch;
+        try {
+            epoch = Long.parseLong(mark.substring(1));
+        } catch (NumberFormatException e) {
+            return null;
+        }
+        Config c = versioned(epoch);
+        if (c != null && !tagging && (epoch == tagOld || epoch == tagNew)) {
+            tagPacket(tagNew);
+        }
+        return c == null ? null : new Choice(c, false);
+    }
+
+    private Config versioned(long epoch) {
+        for (Config c : installed) {
+            if (c != null && c.epoch == epoch) {
+                return c;
+            }
+        }
+        return null;
+    }
+
+    /** Phase 1. Answers null when recorded, or why not. */
+    public String distribute(long old, long fresh, Config candidate) {
+        if (epoch() == fresh) {
+            return null;
+        }
+        if (epoch() != old) {
+            return "behind";
+        }
+        installed[1 - real] = candidate;
+        tagOld = old;
+        tagNew = fresh;
+        tagging = false;
+        swapped = false;
+        cancel();
+        timeout = clock.after(revertMs, this::revert);
+        return null;
+    }
+
+    /** No TAG PACKET came, or the commit was aborted: back to the normal state. */
+    public void revert() {
+        if (!tagging && tagNew >= 0 && !swapped) {
+            log.say(Event.SHADOW_REVERTED, "epoch", tagNew);
+            tagOld = -1;
+            tagNew = -1;
+        }
+        cancel();
+    }
+
+    /** Phase 2: calls are marked with tags from now on. */
+    public boolean tagPacket(long fresh) {
+        if (fresh != tagNew) {
+            return epoch() == fresh;
+        }
+        cancel();
+        tagging = true;
+        return true;
+    }
+
+    /** Phase 3: the map's entries are exchanged; the tags stay with their versions. */
+    public boolean swap(long fresh) {
+        if (epoch() == fresh) {
+            return true;
+        }
+        if (fresh != tagNew || shadow() == null || shadow().epoch != fresh) {
+            return false;
+        }
+        cancel();
+        real = 1 - real;
+        tagging = true;
+        swapped = true;
+        log.say(Event.VERSION_ADOPTED, "epoch", fresh, "how", "swap");
+        changed.run();
+        return true;
+    }
+
+    /** Phase 4: back to the bit. */
+    public boolean markBit(long fresh) {
+        if (epoch() != fresh) {
+            return false;
+        }
+        tagging = false;
+        swapped = false;
+        tagOld = -1;
+        tagNew = -1;
+        return true;
+    }
+
+    /** A decided version taken directly by a weft that missed its commit. Never goes back. */
+    public void adopt(Config decided, boolean settled) {
+        if (decided.epoch <= epoch()) {
+            return;
+        }
+        cancel();
+        installed[1 - real] = decided;
+        real = 1 - real;
+        tagOld = shadow() == null ? -1 : shadow().epoch;
+        tagNew = decided.epoch;
+        tagging = true;
+        swapped = true;
+        if (settled) {
+            markBit(decided.epoch);
+        }
+        log.say(Event.VERSION_ADOPTED, "epoch", decided.epoch, "how", "adopted");
+        changed.run();
+    }
+
+    private void cancel() {
+        if (timeout != null) {
+            timeout.cancel();
+            timeout = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -0,0 +1,418 @@
+package bramblespool.coordination;
+
+import bramblespool.protocol.Beat;
+import bramblespool.state.Config;
+import bramblespool.state.Log;
+import bramblespool.state.Log.Event;
+import bramblespool.state.Settings;
+import bramblespool.transport.Clock;
+import bramblespool.transport.Wire;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** A weft's part in the control plane: its session, its news, its side of the shadow commit, its gate. */
+public final class WeftCore implements Wire.Service {
+    /** Ratios to {@code quiet}. */
+    private static final int RENEWALS = 6;
+    private static final int CALLS = 10;
+    /** Renewals without an answer before the weft turns to another helm. */
+    private static final int MISSES = 2;
+    /** After so many renewals elsewhere the helm of the own zone is tried again. */
+    private static final int HOMEWARD = 10;
+
+    private final Clock clock;
+    private final Wire wire;
+    private final Log log;
+    private Settings settings;
+    public final News news;
+    public final Fleet fleet;
+    public final Shadow shadow;
+    public final Gate gate;
+    public final Budget budget;
+    private final long callMs;
+    private String helm;
+    private boolean sessionOpen;
+    private long session;
+    private int misses;
+    private int renewals;
+    private int rotation;
+    private boolean gone;
+    private boolean fetching;
+    private final Set<String> pinging = new LinkedHashSet<>();
+    private long lastTick;
+
+    public WeftCore(Settings settings, Clock clock, Wire wire, Log log) {
+        this.settings = settings;
+        this.clock = clock;
+        this.wire = wire;
+        this.log = log;
+        Settings.Bounds b = settings.bounds();
+        this.callMs = b.quiet() / CALLS;
+        this.news = new News(clock, wire, callMs, this::others);
+        this.fleet = new Fleet(clock, settings.node(), settings.zone(), b.quiet() / 3);
+        this.shadow = new Shadow(clock, b.apply() * 2 / 5, log);
+        this.gate = new Gate(clock, new Gate.Rules(settings.beat(), b.drain(), b.warmExcess(), b.warmSlack()),
+                settings.appAddr(), settings.target(), this::tellSelf, log);
+        this.budget = new Budget(b.retryRatio(), b.retrySlack());
+        news.author(Fleet.WEFT + settings.node(), this::tellSelf);
+        news.listen(this::heard);
+        shadow.onChange(this::versionChanged);
+    }
+
+    public void start() {
+        long renew = settings.bounds().quiet() / RENEWALS;
+        tellSelf();
+        renew();
+        clock.every(renew, () -> {
+            long now = clock.now();
+            if (lastTick > 0 && now - lastTick > renew * 3) {
+                log.say(Event.PAUSED, "ms", now - lastTick);
+                gate.paused();
+            }
+            lastTick = now;
+            gate.check();
+            renew();
+            catchUp();
+        });
+        clock.every(renew * 2, news::mend);
+    }
+
+    public void settings(Settings fresh) {
+        settings = fresh;
+    }
+
+    public boolean ready() {
+        return !gone && shadow.real() != null && fleet.anyServer();
+    }
+
+    public boolean sessionOpen() {
+        return sessionOpen;
+    }
+
+    public String helm() {
+        return helm;
+    }
+
+    // ---- news
+
+    private void tellSelf() {
+        news.tell(JsonNodeFactory.instance.objectNode().put("peer", settings.peer())
+                .put("inbound", settings.inbound()).put("zone", settings.zone()).put("target", settings.target())
+                .put("server", gate.id()).put("capacity", gate.capacity()).put("open", gate.open() && !gone)
+                .put("cold", gate.id() == null ? 0 : gate.coldLeft()).put("gone", gone));
+    }
+
+    private void heard(News.Item i) {
+        fleet.hear(i);
+        budget.sharers(fleet.wefts());
+        if (i.key().equals(Fleet.EVAC + settings.zone())) {
+            log.say(Event.EVACUATION, "zone", settings.zone(), "on", i.body().path("on").asBoolean());
+            gate.evacuated(i.body().path("on").asBoolean());
+        } else if (i.key().equals(Fleet.ORDER)) {
+            catchUp();
+        }
+    }
+
+    private List<String> others() {
+        List<String> out = fleet.peerAddresses();
+        out.addAll(helms());
+        return out;
+    }
+
+    private Set<String> helms() {
+        Set<String> out = new LinkedHashSet<>();
+        for (News.Item i : news.all()) {
+            if (i.key().startsWith(Fleet.HELM) && !i.body().path("gone").asBoolean()) {
+                out.add(i.body().path("peer").asText());
+            }
+        }
+        for (String s : settings.seeds()) {
+            out.add(settings.peerOf(s));
+        }
+        return out;
+    }
+
+    // ---- the session
+
+    private String homeHelm() {
+        for (News.Item i : news.all()) {
+            if (i.key().startsWith(Fleet.HELM) && !i.body().path("gone").asBoolean()
+                    && i.body().path("zone").asText().equals(settings.zone())) {
+                return i.body().path("peer").asText();
+            }
+        }
+        return null;
+    }
+
+    private void pickHelm() {
+        String home = homeHelm();
+        List<String> all = new ArrayList<>(helms());
+        if (home != null && !home.equals(helm)) {
+            helm = home;
+        } else if (!all.isEmpty()) {
+            helm = all.get(rotation++ % all.size());
+        }
+        session++;
+        misses = 0;
+        renewals = 0;
+    }
+
+    private void renew() {
+        if (helm == null || misses >= MISSES) {
+            if (sessionOpen) {
+                log.say(Event.SESSION_LOST, "helm", helm);
+                sessionOpen = false;
+            }
+            pickHelm();
+        } else if (++renewals % HOMEWARD == 0 || !sessionOpen) {
+            String home = homeHelm();
+            if (home != null && !home.equals(helm)) {
+                tryHome(home);
+            }
+        }
+        if (helm == null) {
+            return;
+        }
+        String to = helm;
+        wire.call(to, "session", sessionMessage(false), callMs, a -> {
+            if (!to.equals(helm)) {
+                return;
+            }
+            if (a == null) {
+                misses++;
+                if (!sessionOpen || misses >= MISSES) {
+                    misses = MISSES;
+                    if (!sessionOpen) {
+                        return;
+                    }
+                    renew();
+                }
+                return;
+            }
+            renewed(a);
+        });
+    }
+
+    private ObjectNode sessionMessage(boolean end) {
+        return JsonNodeFactory.instance.objectNode().put("node", settings.node()).put("peer", settings.peer())
+                .put("life", news.life()).put("n", session).put("hash", news.hash()).put("end", end);
+    }
+
+    private void renewed(JsonNode a) {
+        misses = 0;
+        if (!a.path("ok").asBoolean()) {
+            session++;
+            news.raise(a.path("life").asLong());
+            return;
+        }
+        if (!sessionOpen) {
+            sessionOpen = true;
+            log.say(Event.SESSION_OPEN, "helm", helm);
+        }
+        if (!a.path("same").asBoolean()) {
+            news.compare(helm);
+        }
+    }
+
+    private void tryHome(String home) {
+        session++;
+        wire.call(home, "session", sessionMessage(false), callMs, a -> {
+            if (a != null && a.path("ok").asBoolean()) {
+                helm = home;
+                renewed(a);
+            }
+        });
+    }
+
+    // ---- versions
+
+    private void versionChanged() {
+        Config.Service s = shadow.real().services.get(settings.target());
+        gate.warmPerS(s == null ? 0 : s.warmPerS());
+    }
+
+    /** Compares the version in force here with the one decided, as the news tells it, and acts on the difference. */
+    private void catchUp() {
+        News.Item order = news.get(Fleet.ORDER);
+        if (order == null) {
+            return;
+        }
+        long epoch = order.body().path("epoch").asLong();
+        boolean marked = order.body().path("phase").asText().equals("MARKED");
+        if (epoch == shadow.epoch()) {
+            if (marked && shadow.tagging()) {
+                shadow.markBit(epoch);
+            }
+            return;
+        }
+        if (epoch < shadow.epoch()) {
+            return;
+        }
+        boolean swapped = marked || order.body().path("phase").asText().equals("SWAPPED");
+        if (!swapped && shadow.real() != null) {
+            // The commit is under way; should it not come by, the decided version is taken all the same.
+            clock.after(settings.bounds().apply() / 4, () -> {
+                if (shadow.epoch() < epoch) {
+                    fetch(epoch, false);
+                }
+            });
+            return;
+        }
+        if (shadow.shadow() != null && shadow.shadow().epoch == epoch) {
+            shadow.adopt(shadow.shadow(), marked);
+        } else {
+            fetch(epoch, marked);
+        }
+    }
+
+    private void fetch(long epoch, boolean marked) {
+        if (fetching) {
+            return;
+        }
+        List<String> from = new ArrayList<>();
+        if (helm != null && sessionOpen) {
+            from.add(helm);
+        }
+        List<String> all = others();
+        while (from.size() < 4 && !all.isEmpty()) {
+            from.add(all.remove((int) (clock.chance() * all.size())));
+        }
+        fetching = true;
+        fetch(epoch, marked, from, 0);
+    }
+
+    private void fetch(long epoch, boolean marked, List<String> from, int at) {
+        if (at >= from.size() || shadow.epoch() >= epoch) {
+            fetching = false;
+            return;
+        }
+        wire.call(from.get(at), "doc", JsonNodeFactory.instance.objectNode().put("epoch", epoch), callMs, a -> {
+            if (a != null && a.path("doc").isTextual()) {
+                try {
+                    shadow.adopt(Config.compile(a.path("doc").asText()), marked);
+                    fetching = false;
+                    catchUp();
+                    return;
+                } catch (Config.Invalid e) {
+                    log.once(Event.MESSAGE_DROPPED, "doc" + e.getMessage(), "kind", "doc", "cause", e.getMessage());
+                }
+            }
+            fetch(epoch, marked, from, at + 1);
+        });
+    }
+
+    /** A peer refused a call for its mark or route: one of the two may be behind. */
+    public void behind() {
+        if (helm != null && !fetching) {
+            news.compare(helm);
+        }
+    }
+
+    // ---- peers
+
+    /** Asks a peer that has been silent whether it is there. */
+    public void ask(Fleet.Member m) {
+        if (m.peer == null || fleet.suspected(m) || !pinging.add(m.peer)) {
+            return;
+        }
+        wire.call(m.peer, "ping", JsonNodeFactory.instance.objectNode(), callMs, a -> {
+            pinging.remove(m.peer);
+            if (a == null) {
+                fleet.suspect(m);
+            } else {
+                m.heard = clock.now();
+            }
+        });
+    }
+
+    @Override
+    public void serve(String kind, JsonNode m, Consumer<ObjectNode> answer) {
+        if (news.serve(kind, m, answer)) {
+            return;
+        }
+        switch (kind) {
+            case "phase" -> answer.accept(phase(m));
+            case "ping" -> answer.accept(JsonNodeFactory.instance.objectNode());
+            case "doc" -> answer.accept(doc(m.path("epoch").asLong()));
+            case "status" -> answer.accept(status());
+            default -> {
+                log.once(Event.MESSAGE_DROPPED, kind, "kind", kind, "cause", "unknown");
+                answer.accept(null);
+            }
+        }
+    }
+
+    private ObjectNode doc(long epoch) {
+        Config c = shadow.real();
+        return c == null || c.epoch != epoch ? null : JsonNodeFactory.instance.objectNode().put("doc", c.document);
+    }
+
+    private ObjectNode phase(JsonNode m) {
+        long fresh = m.path("new").asLong();
+        ObjectNode out = JsonNodeFactory.instance.objectNode();
+        switch (m.path("phase").asInt()) {
+            case 0 -> {
+                shadow.revert();
+                return out.put("ok", true);
+            }
+            case 1 -> {
+                try {
+                    Config candidate = Config.compile(m.path("doc").asText());
+                    String no = shadow.distribute(m.path("old").asLong(), fresh, candidate);
+                    if (no != null) {
+                        behind();
+                        return out.put("ok", false).put("why", no);
+                    }
+                    return out.put("ok", true).put("difference", candidate.difference(shadow.real()));
+                } catch (Config.Invalid e) {
+                    return out.put("ok", false).put("refused", true).put("why", e.getMessage());
+                }
+            }
+            case 2 -> {
+                return out.put("ok", shadow.tagPacket(fresh));
+            }
+            case 3 -> {
+                return out.put("ok", shadow.swap(fresh));
+            }
+            case 4 -> {
+                return out.put("ok", shadow.markBit(fresh));
+            }
+            default -> {
+                return null;
+            }
+        }
+    }
+
+    private ObjectNode status() {
+        ObjectNode n = JsonNodeFactory.instance.objectNode().put("role", "weft").put("node", settings.node())
+                .put("zone", settings.zone()).put("epoch", shadow.epoch()).put("tagging", shadow.tagging())
+                .put("helm", helm).put("session", sessionOpen).put("ready", ready()).put("server", gate.id())
+                .put("open", gate.open()).put("load", gate.load()).put("capacity", gate.capacity())
+                .put("wefts", fleet.wefts());
+        if (shadow.shadow() != null) {
+            n.put("shadow", shadow.shadow().epoch);
+        }
+        return n;
+    }
+
+    // ---- the server and the end
+
+    public String beat(Beat b) {
+        return gate.beat(b);
+    }
+
+    /** Leaves: no more work comes here, and the session ends. */
+    public void leave() {
+        gone = true;
+        tellSelf();
+        if (helm != null) {
+            wire.call(helm, "session", sessionMessage(true), callMs, a -> { });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/bramblespool/role/Courier.java
@@ -0,0 +1,186 @@
+package bramblespool.role;
+
+import bramblespool.coordination.Gate;
+import bramblespool.protocol.Names;
+import bramblespool.protocol.Verdict;
+import bramblespool.state.Config;
+import bramblespool.transport.Clock;
+import bramblespool.transport.Stream;
+import bramblespool.transport.Upstream;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+
+/** Takes a request through the gate to this machine's server, once, and says what came of it. */
+final class Courier {
+    /** How a send ended. {@code arrived}: the server saw it, run or not. */
+    record Result(Verdict verdict, Upstream.Answer answer, String why, long retryMs, boolean arrived) {
+        static Result neverRan(String why, long retryMs, boolean arrived) {
+            return new Result(Verdict.NEVER_RAN, null, why, retryMs, arrived);
+        }
+
+        static Result mayHaveRun(String why) {
+            return new Result(Verdict.MAY_HAVE_RUN, null, why, 0, true);
+        }
+    }
+
+    interface Taker {
+        /** The ending is to be called when a streamed answer has been passed on; true where it was whole. */
+        void take(Result result, Ending ending);
+    }
+
+    interface Ending {
+        void ended(boolean whole);
+    }
+
+    /** A request as it travels: what the client sent, and what the system must say about it. */
+    record Parcel(HttpString method, String target, HeaderMap headers, Stream.Body body, String attempt,
+            String caller, long deadline) {
+    }
+
+    /** Answers are held back whole up to this size, so that one broken off can still become another try. */
+    static final int BUFFERED = 64 << 10;
+    /** How long after its deadline a server's own 504 may come before the connection is given up. */
+    private static final long GRACE_MS = 40;
+    /** Part of the time the server keeps an idle connection during which it is used again. */
+    private static final double IDLE_SHARE = 0.5;
+
+    private final Clock clock;
+    private final Gate gate;
+    private final Upstream upstream;
+    private final String app;
+    private final long connectMs;
+    private long idleMs;
+
+    Courier(Clock clock, Gate gate, Upstream upstream, String app, long connectMs, long idleMs) {
+        this.clock = clock;
+        this.gate = gate;
+        this.upstream = upstream;
+        this.app = app;
+        this.connectMs = connectMs;
+        this.idleMs = idleMs;
+    }
+
+    static Upstream.Request request(Parcel p, HeaderMap headers) {
+        if (p.body.whole()) {
+            if (p.body.head().length > 0 || p.headers.contains(Headers.CONTENT_LENGTH)) {
+                headers.put(Headers.CONTENT_LENGTH, p.body.head().length);
+            }
+        } else if (p.headers.contains(Headers.CONTENT_LENGTH)) {
+            headers.put(Headers.CONTENT_LENGTH, p.headers.getFirst(Headers.CONTENT_LENGTH));
+        } else {
+            headers.put(Headers.TRANSFER_ENCODING, "chunked");
+        }
+        return new Upstream.Request(p.method, p.target, headers, p.body);
+    }
+
+    void serve(Parcel p, Config.Route route, Taker taker) {
+        Run run = new Run(p, taker);
+        run.ticket = gate.offer(route.name(), route.rank(), p.deadline, run::go,
+                r -> taker.take(Result.neverRan(r.why(), r.retryMs(), false), null));
+        if (run.early) {
+            run.send();
+        }
+    }
+
+    private final class Run implements Upstream.Receiver {
+        private final Parcel parcel;
+        private final Taker taker;
+        private Gate.Ticket ticket;
+        private boolean early;
+        private Upstream.Call call;
+        private Clock.Timer patience;
+        private String server;
+        private boolean over;
+
+        Run(Parcel parcel, Taker taker) {
+            this.parcel = parcel;
+            this.taker = taker;
+        }
+
+        void go() {
+            if (ticket == null) {
+                early = true;
+            } else {
+                send();
+            }
+        }
+
+        private void send() {
+            server = ticket.server();
+            long left = parcel.deadline - clock.now();
+            if (left <= 0) {
+                ticket.done(false);
+                taker.take(Result.neverRan("late", 0, false), null);
+                return;
+            }
+            HeaderMap headers = new HeaderMap();
+            Names.copy(parcel.headers, headers, false);
+            headers.put(Names.DEADLINE, left);
+            headers.put(Names.INSTANCE, server);
+            headers.put(Names.CALLER, parcel.caller);
+            patience = clock.after(left + GRACE_MS, () -> {
+                boolean sent = call.sent();
+                call.drop();
+                end(sent ? Result.mayHaveRun("deadline") : Result.neverRan("late", 0, false), false, null);
+            });
+            call = upstream.send(app, new Upstream.Manner(connectMs, idleMs, BUFFERED), request(parcel, headers), this);
+        }
+
+        private void end(Result r, boolean worked, Ending ending) {
+            if (over) {
+                return;
+            }
+            over = true;
+            patience.cancel();
+            if (ending == null) {
+                ticket.done(worked);
+            }
+            taker.take(r, ending);
+        }
+
+        @Override
+        public void answer(Upstream.Answer a) {
+            String attempt = a.headers().getFirst(Names.ATTEMPT);
+            int keep = Names.keepAliveSeconds(a.headers());
+            if (keep > 0) {
+                idleMs = (long) (keep * 1000 * IDLE_SHARE);
+            }
+            if (a.code() == 421) {
+                if (call != null) {
+                    call.finished(false);
+                }
+                gate.unreachable(server);
+                end(Result.neverRan("none", 0, false), false, null);
+            } else if (a.headers().contains(Names.NOT_RUN)) {
+                if (!a.body().whole()) {
+                    call.finished(false);
+                }
+                end(Result.neverRan("turned away", 0, true), false, null);
+            } else if (attempt != null && !attempt.equals(parcel.attempt)) {
+                if (!a.body().whole()) {
+                    call.finished(false);
+                }
+                upstream.forget(app);
+                end(Result.mayHaveRun("an answer to another request"), false, null);
+            } else if (a.body().whole()) {
+                end(new Result(Verdict.ANSWERED, a, null, 0, true), a.code() < 500, null);
+            } else {
+                end(new Result(Verdict.ANSWERED, a, null, 0, true), true, whole -> {
+                    call.finished(whole);
+                    ticket.done(false);
+                });
+            }
+        }
+
+        @Override
+        public void failed(Upstream.Reach reach, String cause) {
+            if (reach == Upstream.Reach.UNSENT) {
+                gate.unreachable(server);
+                end(Result.neverRan("none", 0, false), false, null);
+            } else {
+                end(Result.mayHaveRun(cause), false, null);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/bramblespool/role/Inbound.java
@@ -0,0 +1,103 @@
+package bramblespool.role;
+
+import bramblespool.coordination.Gate;
+import bramblespool.coordination.Shadow;
+import bramblespool.protocol.Names;
+import bramblespool.protocol.Verdict;
+import bramblespool.state.Config;
+import bramblespool.transport.Clock;
+import bramblespool.transport.Stream;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.util.function.Consumer;
+
+/** Calls from other wefts: the mark chooses the version, the gate decides, the courier carries. */
+final class Inbound implements HttpHandler {
+    private final Clock clock;
+    private final Shadow shadow;
+    private final Gate gate;
+    private final Courier courier;
+    private final ByteBufferPool buffers;
+    private final String target;
+    private final Consumer<String> marked;
+
+    Inbound(Clock clock, Shadow shadow, Gate gate, Courier courier, ByteBufferPool buffers, String target,
+            Consumer<String> marked) {
+        this.clock = clock;
+        this.shadow = shadow;
+        this.gate = gate;
+        this.courier = courier;
+        this.buffers = buffers;
+        this.target = target;
+        this.marked = marked;
+    }
+
+    /** The route under which this weft may hand the request to its server, or why not. */
+    record Way(Config.Route route, String why) {
+        static Way of(Shadow shadow, String mark, String host, String path, String target) {
+            Shadow.Choice choice = shadow.resolve(mark);
+            if (choice == null) {
+                return new Way(null, "mark");
+            }
+            if (choice.test()) {
+                return new Way(null, "test");
+            }
+            Config.Route route = choice.config().route(host, path);
+            return route == null || !route.leadsTo(target) ? new Way(null, "route") : new Way(route, null);
+        }
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange x) {
+        x.dispatch(SameThreadExecutor.INSTANCE, () -> accept(x));
+    }
+
+    private void accept(HttpServerExchange x) {
+        long left = Exchanges.number(x, Names.DEADLINE);
+        String unsound = Exchanges.unsound(x);
+        if (unsound != null || left <= 0) {
+            Exchanges.sayAndClose(x, 400, unsound == null ? "bad " + Names.DEADLINE : unsound);
+            return;
+        }
+        long deadline = clock.now() + left;
+        String mark = x.getRequestHeaders().getFirst(Names.MARK);
+        marked.accept(mark);
+        Way way = Way.of(shadow, mark, x.getRequestHeaders().getFirst(Headers.HOST), Exchanges.path(x), target);
+        if (way.route == null) {
+            refuse(x, way.why, 0, false);
+            return;
+        }
+        Stream.read(x.getRequestChannel(), buffers, Courier.BUFFERED, body -> {
+            Courier.Parcel p = new Courier.Parcel(x.getRequestMethod(), Exchanges.target(x), x.getRequestHeaders(),
+                    body, x.getRequestHeaders().getFirst(Names.ATTEMPT), caller(x), deadline);
+            courier.serve(p, way.route, (r, ending) -> answer(x, r, ending));
+        }, e -> x.endExchange());
+    }
+
+    private static String caller(HttpServerExchange x) {
+        String c = x.getRequestHeaders().getFirst(Names.CALLER);
+        return c == null ? "" : c;
+    }
+
+    private void answer(HttpServerExchange x, Courier.Result r, Courier.Ending ending) {
+        if (r.verdict() == Verdict.ANSWERED) {
+            x.getResponseHeaders().put(Names.VERDICT, r.verdict().code).put(Names.LOAD, gate.load());
+            Exchanges.relay(x, r.answer(), false, buffers, ending);
+        } else if (r.verdict() == Verdict.NEVER_RAN) {
+            refuse(x, r.why(), r.retryMs(), r.arrived());
+        } else {
+            x.getResponseHeaders().put(Names.VERDICT, r.verdict().code).put(Names.LOAD, gate.load())
+                    .put(Names.WHY, r.why().replaceAll("[^ -~]", "?"));
+            Exchanges.say(x, 502, "");
+        }
+    }
+
+    private void refuse(HttpServerExchange x, String why, long retryMs, boolean arrived) {
+        x.getResponseHeaders().put(Names.VERDICT, Verdict.NEVER_RAN.code).put(Names.LOAD, gate.load())
+                .put(Names.WHY, arrived ? why + "!" : why);
+        Exchanges.comeBack(x, retryMs, "");
+    }
+}
--- /dev/null
+++ b/src/main/java/bramblespool/state/Config.java
@@ -0,0 +1,338 @@
+package bramblespool.state;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonNull;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** One version of the operator's configuration, compiled for routing, with the document as it was sent. */
+public final class Config {
+    public static final int RANKS = 16;
+
+    public record Share(String target, double share) {
+    }
+
+    public record Route(String name, String authority, String prefix, boolean idempotent, long deadline, long goal,
+            int rank, List<Share> shares, int maxTries) {
+        public boolean leadsTo(String service) {
+            for (Share s : shares) {
+                if (s.target.equals(service) && s.share > 0) {
+                    return true;
+                }
+            }
+            return false;
+        }
+    }
+
+    public record Service(String name, String probePath, int maxConns, long warmup, double warmPerS) {
+    }
+
+    public record Limits(long headerBytes, long bodyBytes, long headerRead, long idle) {
+        public static final Limits UNSET = new Limits(16384, 64L << 20, 5000, 15000);
+    }
+
+    /** A configuration that may not come into force, with every fault found. */
+    public static final class Invalid extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        public Invalid(List<String> faults) {
+            super(String.join("; ", faults));
+        }
+    }
+
+    private static final String ROUTES = "routeTable";
+    private static final String SERVICES = "serviceTable";
+
+    public final long epoch;
+    public final String document;
+    public final Map<String, Service> services;
+    public final Limits limits;
+    public final int routeCount;
+    private final Map<String, Route[]> byHost;
+
+    private Config(long epoch, String document, Map<String, Service> services, Limits limits,
+            Map<String, List<Route>> hosts) {
+        this.epoch = epoch;
+        this.document = document;
+        this.services = services;
+        this.limits = limits;
+        Map<String, Route[]> sorted = new LinkedHashMap<>();
+        int n = 0;
+        for (Map.Entry<String, List<Route>> e : hosts.entrySet()) {
+            e.getValue().sort((a, b) -> b.prefix.length() - a.prefix.length());
+            sorted.put(e.getKey(), e.getValue().toArray(new Route[0]));
+            n += e.getValue().size();
+        }
+        this.byHost = sorted;
+        this.routeCount = n;
+    }
+
+    /** The longest prefix on the exact bytes of the path, or null. */
+    public Route route(String host, String path) {
+        Route[] routes = byHost.get(hostKey(host));
+        if (routes != null) {
+            for (Route r : routes) {
+                if (path.startsWith(r.prefix)) {
+                    return r;
+                }
+            }
+        }
+        return null;
+    }
+
+    private static String hostKey(String host) {
+        int colon = host.lastIndexOf(':');
+        if (colon > 0 && host.indexOf(']') < colon) {
+            host = host.substring(0, colon);
+        }
+        return host.toLowerCase(java.util.Locale.ROOT);
+    }
+
+    /** Parses a whole document; the tree must be an object. */
+    public static JsonObject tree(String document) throws Invalid {
+        try {
+            JsonElement e = JsonParser.parseString(document);
+            if (e.isJsonObject()) {
+                return e.getAsJsonObject();
+            }
+        } catch (JsonParseException | StackOverflowError e) {
+            throw new Invalid(List.of("cannot be read whole as JSON"));
+        }
+        throw new Invalid(List.of("is not a JSON object"));
+    }
+
+    public static Config compile(String document) throws Invalid {
+        return compile(tree(document), document);
+    }
+
+    public static Config compile(JsonObject tree, String document) throws Invalid {
+        List<String> faults = new ArrayList<>();
+        Fields f = new Fields(tree, "", faults);
+        long epoch = f.whole("epoch", null);
+        Map<String, Service> services = new LinkedHashMap<>();
+        for (Fields row : rows(tree, SERVICES, faults)) {
+            Service s = new Service(row.text("name"), row.text("probePath", "/"),
+                    (int) row.whole("maxConns", 0L), row.time("warmup", "0ms"), row.number("warmPerS", 0.0));
+            if (s.name != null && services.put(s.name, s) != null) {
+                row.fault("name", "stands twice: " + s.name);
+            }
+        }
+        Map<String, List<Route>> hosts = new LinkedHashMap<>();
+        Set<String> places = new HashSet<>();
+        Set<String> names = new HashSet<>();
+        for (Fields row : rows(tree, ROUTES, faults)) {
+            Route r = route(row, services);
+            if (r.name != null && !names.add(r.name)) {
+                row.fault("name", "stands twice: " + r.name);
+            }
+            if (r.authority != null && r.prefix != null) {
+                if (!places.add(hostKey(r.authority) + " " + r.prefix)) {
+                    row.fault("pathPrefix", "same place as another route: " + r.authority + r.prefix);
+                }
+                hosts.computeIfAbsent(hostKey(r.authority), k -> new ArrayList<>()).add(r);
+            }
+        }
+        Limits limits = Limits.UNSET;
+        if (f.has("limits")) {
+            Fields l = f.section("limits");
+            limits = new Limits(l.whole("headerBytes", Limits.UNSET.headerBytes),
+                    l.whole("bodyBytes", Limits.UNSET.bodyBytes), l.time("headerRead", "5s"), l.time("idle", "15s"));
+        }
+        if (!faults.isEmpty()) {
+            throw new Invalid(faults);
+        }
+        return new Config(epoch, document, services, limits, hosts);
+    }
+
+    private static Route route(Fields row, Map<String, Service> services) {
+        String name = row.text("name");
+        String prefix = row.text("pathPrefix");
+        if (prefix != null && (!prefix.startsWith("/") || !prefix.endsWith("/"))) {
+            row.fault("pathPrefix", "must begin and end with a slash: " + prefix);
+        }
+        String kind = row.text("routeClass");
+        if (kind != null && !kind.equals("idempotent") && !kind.equals("mutating")) {
+            row.fault("routeClass", "must be idempotent or mutating, not " + kind);
+        }
+        List<Share> shares = row.shares("shares");
+        if (shares.isEmpty()) {
+            String target = row.text("target");
+            if (target != null) {
+                shares = List.of(new Share(target, 1));
+            }
+        }
+        for (Share s : shares) {
+            if (s.share < 0) {
+                row.fault("shares", "a weight is below 0: " + s.target);
+            }
+            if (!services.containsKey(s.target)) {
+                row.fault("target", "unknown service: " + s.target);
+            }
+        }
+        int rank = (int) Math.max(0, Math.min(RANKS - 1, row.whole("rank", 0L)));
+        return new Route(name, row.text("authority"), prefix, "idempotent".equals(kind), row.time("deadline", "0ms"),
+                row.time("goal", "0ms"), rank, shares, (int) Math.max(1, row.whole("maxTries", 1L)));
+    }
+
+    private static List<Fields> rows(JsonObject tree, String table, List<String> faults) {
+        List<Fields> out = new ArrayList<>();
+        List<JsonObject> items = items(tree, table, faults);
+        for (int i = 0; i < items.size(); i++) {
+            out.add(new Fields(items.get(i), table + "[" + i + "].", faults));
+        }
+        return out;
+    }
+
+    private static List<JsonObject> items(JsonObject tree, String table, List<String> faults) {
+        List<JsonObject> out = new ArrayList<>();
+        JsonElement t = tree.get(table);
+        if (t == null || !t.isJsonObject() || !t.getAsJsonObject().has("columns")
+                || !t.getAsJsonObject().get("columns").isJsonArray() || !t.getAsJsonObject().has("rows")
+                || !t.getAsJsonObject().get("rows").isJsonArray()) {
+            faults.add(table + ": must hold columns and rows");
+            return out;
+        }
+        JsonArray columns = t.getAsJsonObject().getAsJsonArray("columns");
+        for (JsonElement row : t.getAsJsonObject().getAsJsonArray("rows")) {
+            if (!row.isJsonArray() || row.getAsJsonArray().size() != columns.size()) {
+                faults.add(table + "[" + out.size() + "]: has not one value for each column");
+                continue;
+            }
+            JsonObject item = new JsonObject();
+            for (int i = 0; i < columns.size(); i++) {
+                item.add(columns.get(i).getAsString(), row.getAsJsonArray().get(i));
+            }
+            out.add(item);
+        }
+        return out;
+    }
+
+    /** What differs from another version, as counts and a digest: equal on every daemon that compares the same two. */
+    public String difference(Config other) {
+        Map<String, Route> mine = named();
+        Map<String, Route> theirs = other == null ? Map.of() : other.named();
+        int added = 0;
+        int changed = 0;
+        int hash = 17;
+        for (Route r : mine.values()) {
+            Route o = theirs.get(r.name);
+            if (o == null) {
+                added++;
+            } else if (!o.equals(r)) {
+                changed++;
+            } else {
+                continue;
+            }
+            hash += r.toString().hashCode();
+        }
+        int removed = 0;
+        for (Route o : theirs.values()) {
+            if (!mine.containsKey(o.name)) {
+                removed++;
+                hash += o.name.hashCode() * 31;
+            }
+        }
+        return "+" + added + " ~" + changed + " -" + removed + " " + Integer.toHexString(hash);
+    }
+
+    private Map<String, Route> named() {
+        Map<String, Route> out = new LinkedHashMap<>();
+        for (Route[] routes : byHost.values()) {
+            for (Route r : routes) {
+                out.put(r.name, r);
+            }
+        }
+        return out;
+    }
+
+    /** The whole document that an amendment makes of this one. */
+    public JsonObject amend(JsonObject change) throws Invalid {
+        List<String> faults = new ArrayList<>();
+        JsonObject whole = tree(document);
+        JsonObject upsert = part(change, "upsert", faults);
+        JsonObject remove = part(change, "remove", faults);
+        Set<String> tables = new LinkedHashSet<>(upsert.keySet());
+        tables.addAll(remove.keySet());
+        for (String table : tables) {
+            if (!whole.has(table) || !whole.get(table).isJsonObject() || !whole.getAsJsonObject(table).has("rows")) {
+                faults.add(table + ": no such list");
+                continue;
+            }
+            Map<String, JsonObject> named = new LinkedHashMap<>();
+            for (JsonObject item : items(whole, table, faults)) {
+                named.put(nameOf(item, table, faults), item);
+            }
+            if (remove.has(table)) {
+                if (!remove.get(table).isJsonArray()) {
+                    faults.add("remove." + table + ": must be a list of names");
+                } else {
+                    remove.getAsJsonArray(table).forEach(n -> named.remove(n.getAsString()));
+                }
+            }
+            if (upsert.has(table)) {
+                for (JsonObject item : items(upsert, table, faults)) {
+                    named.put(nameOf(item, table, faults), item);
+                }
+            }
+            whole.add(table, columned(whole.getAsJsonObject(table).getAsJsonArray("columns"), named.values()));
+        }
+        if (change.has("limits")) {
+            whole.add("limits", change.get("limits"));
+        }
+        whole.add("epoch", change.get("epoch"));
+        whole.remove("baseVersion");
+        if (!faults.isEmpty()) {
+            throw new Invalid(faults);
+        }
+        return whole;
+    }
+
+    private static JsonObject part(JsonObject change, String field, List<String> faults) {
+        if (!change.has(field) || change.get(field).isJsonNull()) {
+            return new JsonObject();
+        }
+        if (!change.get(field).isJsonObject()) {
+            faults.add(field + ": must be an object");
+            return new JsonObject();
+        }
+        return change.getAsJsonObject(field);
+    }
+
+    private static String nameOf(JsonObject item, String table, List<String> faults) {
+        JsonElement name = item.get("name");
+        if (name == null || !name.isJsonPrimitive()) {
+            faults.add(table + ": an item has no name");
+            return "";
+        }
+        return name.getAsString();
+    }
+
+    private static JsonObject columned(JsonArray before, Iterable<JsonObject> items) {
+        Set<String> columns = new LinkedHashSet<>();
+        before.forEach(c -> columns.add(c.getAsString()));
+        items.forEach(i -> columns.addAll(i.keySet()));
+        JsonArray head = new JsonArray();
+        columns.forEach(head::add);
+        JsonArray rows = new JsonArray();
+        for (JsonObject item : items) {
+            JsonArray row = new JsonArray();
+            for (String c : columns) {
+                row.add(item.has(c) ? item.get(c) : JsonNull.INSTANCE);
+            }
+            rows.add(row);
+        }
+        JsonObject table = new JsonObject();
+        table.add("columns", head);
+        table.add("rows", rows);
+        return table;
+    }
+}
--- /dev/null
+++ b/src/main/java/bramblespool/state/Ledger.java
@@ -0,0 +1,135 @@
+package bramblespool.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** What the helms have agreed on: configurations, the phase of the commit under way, evacuations. */
+public final class Ledger {
+    /** Digests of versions taken before, kept so that a repeat of one is known. */
+    private static final int TAKEN_KEPT = 512;
+
+    public enum Phase { NONE, DECIDED, SWAPPED, MARKED }
+
+    public record Version(long epoch, String document, String digest) {
+        static final Version NONE = new Version(0, null, "");
+    }
+
+    private Version current = Version.NONE;
+    private Version previous = Version.NONE;
+    private Version candidate;
+    private long candidateBase;
+    private Phase phase = Phase.NONE;
+    private final Map<String, Long> taken = new LinkedHashMap<>();
+    private final Map<String, Evacuation> evacuations = new LinkedHashMap<>();
+
+    /** The index orders a zone's changes. */
+    public record Evacuation(boolean on, long index) {
+    }
+
+    public Version current() {
+        return current;
+    }
+
+    public Version previous() {
+        return previous;
+    }
+
+    public Version candidate() {
+        return candidate;
+    }
+
+    public Phase phase() {
+        return phase;
+    }
+
+    public Map<String, Evacuation> evacuations() {
+        return evacuations;
+    }
+
+    public boolean taken(String digest) {
+        return taken.containsKey(digest);
+    }
+
+    public static ObjectNode entry(String kind) {
+        return JsonNodeFactory.instance.objectNode().put("k", kind);
+    }
+
+    public void apply(long index, JsonNode e) {
+        switch (e.path("k").asText()) {
+            case "candidate" -> {
+                if (candidate == null) {
+                    candidate = new Version(e.path("epoch").asLong(), e.path("doc").asText(), e.path("digest").asText());
+                    candidateBase = e.path("base").asLong();
+                }
+            }
+            case "abort" -> {
+                if (candidate != null && candidate.epoch == e.path("epoch").asLong()) {
+                    candidate = null;
+                }
+            }
+            case "decide" -> decide(e.path("epoch").asLong());
+            case "phase" -> {
+                if (current.epoch == e.path("epoch").asLong()) {
+                    phase = Phase.valueOf(e.path("phase").asText());
+                }
+            }
+            case "evac" -> evacuations.put(e.path("zone").asText(), new Evacuation(e.path("on").asBoolean(), index));
+            default -> { }
+        }
+    }
+
+    private void decide(long epoch) {
+        if (candidate == null || candidate.epoch != epoch || candidateBase != current.epoch || epoch <= current.epoch) {
+            return;
+        }
+        previous = current;
+        current = candidate;
+        candidate = null;
+        phase = Phase.DECIDED;
+        taken.put(current.digest, epoch);
+        if (taken.size() > TAKEN_KEPT) {
+            taken.remove(taken.keySet().iterator().next());
+        }
+    }
+
+    public ObjectNode snapshot() {
+        ObjectNode n = JsonNodeFactory.instance.objectNode();
+        put(n.putObject("current"), current);
+        put(n.putObject("previous"), previous);
+        if (candidate != null) {
+            put(n.putObject("candidate"), candidate);
+            n.put("base", candidateBase);
+        }
+        n.put("phase", phase.name());
+        ObjectNode t = n.putObject("taken");
+        taken.forEach(t::put);
+        ObjectNode ev = n.putObject("evac");
+        evacuations.forEach((z, e) -> ev.putObject(z).put("on", e.on).put("index", e.index));
+        return n;
+    }
+
+    public void restore(JsonNode n) {
+        current = version(n.path("current"));
+        previous = version(n.path("previous"));
+        candidate = n.has("candidate") ? version(n.path("candidate")) : null;
+        candidateBase = n.path("base").asLong();
+        phase = Phase.valueOf(n.path("phase").asText());
+        taken.clear();
+        n.path("taken").fields().forEachRemaining(f -> taken.put(f.getKey(), f.getValue().asLong()));
+        evacuations.clear();
+        n.path("evac").fields().forEachRemaining(f -> evacuations.put(f.getKey(),
+                new Evacuation(f.getValue().path("on").asBoolean(), f.getValue().path("index").asLong())));
+    }
+
+    private static void put(ObjectNode n, Version v) {
+        n.put("epoch", v.epoch).put("doc", v.document).put("digest", v.digest);
+    }
+
+    private static Version version(JsonNode n) {
+        return new Version(n.path("epoch").asLong(), n.path("doc").isTextual() ? n.path("doc").asText() : null,
+                n.path("digest").asText());
+    }
+}
--- /dev/null
+++ b/src/main/java/bramblespool/state/SqliteVault.java
@@ -0,0 +1,221 @@
+package bramblespool.state;
+
+import com.google.gson.Gson;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.PreparedStatement;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongSupplier;
+import org.agrona.concurrent.ManyToOneConcurrentLinkedQueue;
+
+/** The vault on SQLite: one disk thread does every write and sync and posts the results back to the loop. */
+public final class SqliteVault implements Vault, AutoCloseable {
+    /** A failed write is tried again after this long; a full disk is emptied by somebody else, not by haste. */
+    private static final long RETRY_MS = 150;
+    /** Pages in the write-ahead log before SQLite moves them: keeps the file well under a megabyte. */
+    private static final int CHECKPOINT_PAGES = 128;
+
+    private record Job(Change change, Runnable durable) {
+    }
+
+    private final Connection db;
+    private final java.util.concurrent.Executor loop;
+    private final LongSupplier now;
+    private final Log log;
+    private final ManyToOneConcurrentLinkedQueue<Job> jobs = new ManyToOneConcurrentLinkedQueue<>();
+    private final ArrayDeque<Long> waiting = new ArrayDeque<>();
+    private final Thread thread;
+    private volatile boolean closed;
+    private boolean failing;
+    private static final Gson GSON = new Gson();
+
+    public SqliteVault(String dir, java.util.concurrent.Executor loop, LongSupplier now, Log log) throws SQLException {
+        this.loop = loop;
+        this.now = now;
+        this.log = log;
+        db = DriverManager.getConnection("jdbc:sqlite:" + dir + "/helm.db");
+        try (Statement s = db.createStatement()) {
+            s.execute("PRAGMA locking_mode=EXCLUSIVE");
+            s.execute("PRAGMA journal_mode=WAL");
+            s.execute("PRAGMA synchronous=FULL");
+            s.execute("PRAGMA cache_size=-512");
+            s.execute("PRAGMA wal_autocheckpoint=" + CHECKPOINT_PAGES);
+            s.execute("CREATE TABLE IF NOT EXISTS self(id INTEGER PRIMARY KEY CHECK(id=1), incarnation TEXT, term INTEGER, vote TEXT)");
+            s.execute("CREATE TABLE IF NOT EXISTS log(idx INTEGER PRIMARY KEY, term INTEGER, data TEXT)");
+            s.execute("CREATE TABLE IF NOT EXISTS snapshot(id INTEGER PRIMARY KEY CHECK(id=1), idx INTEGER, term INTEGER, voters TEXT, data TEXT)");
+        }
+        db.setAutoCommit(false);
+        thread = new Thread(null, this::work, "disk", 256 << 10);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public Saved load() {
+        try (Statement s = db.createStatement()) {
+            String incarnation;
+            String vote;
+            long term;
+            try (ResultSet r = s.executeQuery("SELECT incarnation, term, vote FROM self")) {
+                if (!r.next()) {
+                    return null;
+                }
+                incarnation = r.getString(1);
+                term = r.getLong(2);
+                vote = r.getString(3);
+            }
+            Snapshot snapshot = null;
+            try (ResultSet r = s.executeQuery("SELECT idx, term, voters, data FROM snapshot")) {
+                if (r.next()) {
+                    snapshot = new Snapshot(r.getLong(1), r.getLong(2),
+                            Arrays.asList(GSON.fromJson(r.getString(3), String[].class)), r.getString(4));
+                }
+            }
+            List<Entry> entries = new ArrayList<>();
+            try (ResultSet r = s.executeQuery("SELECT idx, term, data FROM log ORDER BY idx")) {
+                while (r.next()) {
+                    entries.add(new Entry(r.getLong(1), r.getLong(2), r.getString(3)));
+                }
+            }
+            db.commit();
+            return new Saved(incarnation, term, vote, snapshot, entries);
+        } catch (SQLException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void found(String incarnation, List<Entry> first) {
+        try (PreparedStatement p = db.prepareStatement("INSERT INTO self VALUES(1,?,0,NULL)");
+                PreparedStatement add = db.prepareStatement("INSERT INTO log VALUES(?,?,?)")) {
+            p.setString(1, incarnation);
+            p.executeUpdate();
+            for (Entry e : first) {
+                add.setLong(1, e.index());
+                add.setLong(2, e.term());
+                add.setString(3, e.data());
+                add.executeUpdate();
+            }
+            db.commit();
+        } catch (SQLException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void save(Change change, Runnable durable) {
+        waiting.add(now.getAsLong());
+        jobs.offer(new Job(change, durable));
+        LockSupport.unpark(thread);
+    }
+
+    @Override
+    public long waitingSince() {
+        return waiting.isEmpty() ? -1 : waiting.peek();
+    }
+
+    @Override
+    public boolean failing() {
+        return failing;
+    }
+
+    private void work() {
+        List<Job> batch = new ArrayList<>();
+        while (!closed) {
+            Job job = jobs.poll();
+            if (job == null) {
+                LockSupport.park(this);
+                continue;
+            }
+            batch.clear();
+            while (job != null) {
+                batch.add(job);
+                job = jobs.poll();
+            }
+            List<Job> done = List.copyOf(batch);
+            while (!closed) {
+                try {
+                    write(done);
+                    loop.execute(() -> finished(done));
+                    break;
+                } catch (SQLException e) {
+                    loop.execute(() -> failed(e));
+                    LockSupport.parkNanos(RETRY_MS * 1_000_000);
+                }
+            }
+        }
+    }
+
+    private void finished(List<Job> done) {
+        if (failing) {
+            failing = false;
+            log.say(Log.Event.DISK_BACK);
+        }
+        for (Job j : done) {
+            waiting.poll();
+            j.durable.run();
+        }
+    }
+
+    private void failed(SQLException e) {
+        if (!failing) {
+            log.say(Log.Event.DISK_FAILED, "error", e.getMessage());
+        }
+        failing = true;
+    }
+
+    private void write(List<Job> batch) throws SQLException {
+        try (PreparedStatement self = db.prepareStatement("UPDATE self SET term=?, vote=?");
+                PreparedStatement cut = db.prepareStatement("DELETE FROM log WHERE idx>=?");
+                PreparedStatement drop = db.prepareStatement("DELETE FROM log WHERE idx<=?");
+                PreparedStatement add = db.prepareStatement("INSERT OR REPLACE INTO log VALUES(?,?,?)");
+                PreparedStatement snap = db.prepareStatement("INSERT OR REPLACE INTO snapshot VALUES(1,?,?,?,?)")) {
+            for (Job j : batch) {
+                Change c = j.change;
+                self.setLong(1, c.term());
+                self.setString(2, c.vote());
+                self.executeUpdate();
+                if (c.truncateFrom() > 0) {
+                    cut.setLong(1, c.truncateFrom());
+                    cut.executeUpdate();
+                }
+                if (c.snapshot() != null) {
+                    snap.setLong(1, c.snapshot().index());
+                    snap.setLong(2, c.snapshot().term());
+                    snap.setString(3, GSON.toJson(c.snapshot().voters()));
+                    snap.setString(4, c.snapshot().data());
+                    snap.executeUpdate();
+                    drop.setLong(1, c.snapshot().index());
+                    drop.executeUpdate();
+                }
+                for (Entry e : c.append()) {
+                    add.setLong(1, e.index());
+                    add.setLong(2, e.term());
+                    add.setString(3, e.data());
+                    add.executeUpdate();
+                }
+            }
+            db.commit();
+        } catch (SQLException e) {
+            try {
+                db.rollback();
+            } catch (SQLException ignored) {
+                // The first error is the one that tells.
+            }
+            throw e;
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        LockSupport.unpark(thread);
+    }
+}
--- /dev/null
+++ b/src/main/java/bramblespool/state/Vault.java
@@ -0,0 +1,35 @@
+package bramblespool.state;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+/** The durable store of a helm. Changes take effect in order; one that fails is tried again until it holds. */
+public interface Vault {
+    record Entry(long index, long term, String data) {
+    }
+
+    record Snapshot(long index, long term, List<String> voters, String data) {
+    }
+
+    record Saved(String incarnation, long term, String vote, Snapshot snapshot, List<Entry> entries) {
+    }
+
+    /** Vote and term, removal of entries from an index on (0: none), entries to add, a snapshot that replaces what it covers. */
+    record Change(long term, String vote, long truncateFrom, List<Entry> append, Snapshot snapshot) {
+    }
+
+    /** What the disk holds, or null where it is empty. */
+    Saved load();
+
+    /** Founds an empty disk, with the entries a founding member starts from. */
+    void found(String incarnation, List<Entry> first);
+
+    /** The callback comes on the loop once the change is durable, and not before. */
+    void save(Change change, Runnable durable);
+
+    /** Since when (loop time) the oldest unfinished change has been waiting, or -1. */
+    long waitingSince();
+
+    /** Whether the last attempt failed. */
+    boolean failing();
+}
