--- a/src/main/java/bramblespool/Main.java
+++ b/src/main/java/bramblespool/Main.java
@@ -54,23 +54,25 @@
             System.err.println("bramblespool: " + e.getMessage());
             return UNFIT;
         }
+        java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.WARNING);
         Log log = new Log(settings.node(), System.err, level);
         try {
             new Main(file, settings, log).start(role);
             return OK;
         } catch (IOException | SQLException | RuntimeException e) {
             System.err.println("bramblespool: " + role + " could not start: " + e.getMessage());
+            System.exit(FAILED);
             return FAILED;
         }
     }
 
     private void start(String role) throws IOException, SQLException {
         CountDownLatch up = new CountDownLatch(1);
-        Exception[] failed = new Exception[1];
+        Throwable[] failed = new Throwable[1];
         loop.post(() -> {
             try {
                 daemon = role.equals("weft") ? new Weft(settings, loop, log) : new Helm(settings, loop, log);
-            } catch (IOException | SQLException | RuntimeException e) {
+            } catch (IOException | SQLException | RuntimeException | LinkageError e) {
                 failed[0] = e;
             }
             up.countDown();
