Start faster: class-data archive made by a rehearsal, plain start without option parsing

Excluded: the platform's own restart delay (0.9 s, the same before and after). The rehearsal doubles as a self-test for users.

--- a/src/main/java/bramblespool/Bramblespool.java
+++ b/src/main/java/bramblespool/Bramblespool.java
@@ -15,7 +15,8 @@
 /** The command line. */
 @Command(name = "bramblespool", mixinStandardHelpOptions = true, versionProvider = Bramblespool.Version.class,
         description = "A service mesh whose configurations are committed in the shadow of the running one.",
-        subcommands = {Bramblespool.WeftCommand.class, Bramblespool.HelmCommand.class, Bramblespool.Check.class},
+        subcommands = {Bramblespool.WeftCommand.class, Bramblespool.HelmCommand.class, Bramblespool.Check.class,
+            Bramblespool.Rehearse.class},
         exitCodeListHeading = "Exit codes:%n",
         exitCodeList = {"0:done, or ended in order", "1:failed", "2:wrong usage, or a file that is not fit for use"})
 public final class Bramblespool implements Runnable {
@@ -23,6 +24,11 @@
     private CommandLine.Model.CommandSpec spec;
 
     public static void main(String[] args) {
+        if (args.length == 1 && (args[0].equals("weft") || args[0].equals("helm"))) {
+            // The ordinary start has nothing to parse; a daemon that was killed is back the sooner.
+            plain(args[0]);
+            return;
+        }
         int code = new CommandLine(new Bramblespool()).setCaseInsensitiveEnumValuesAllowed(true).execute(args);
         if (code != Main.OK || !started) {
             System.exit(code);
@@ -31,6 +37,23 @@
 
     private static boolean started;
 
+    private static void plain(String role) {
+        int code = fromVariable() == null ? noSettings() : Main.run(role, fromVariable(), Log.Level.INFO);
+        if (code != Main.OK) {
+            System.exit(code);
+        }
+    }
+
+    private static Path fromVariable() {
+        String v = System.getenv(Main.SETTINGS_VARIABLE);
+        return v == null || v.isEmpty() ? null : Path.of(v);
+    }
+
+    private static int noSettings() {
+        System.err.println("bramblespool: no settings: give --settings FILE or set " + Main.SETTINGS_VARIABLE);
+        return Main.UNFIT;
+    }
+
     @Override
     public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(), "a subcommand is wanted");
@@ -59,18 +82,12 @@
         public Integer call() {
             Path from = file != null ? file : fromVariable();
             if (from == null) {
-                System.err.println("bramblespool: no settings: give --settings FILE or set " + Main.SETTINGS_VARIABLE);
-                return Main.UNFIT;
+                return noSettings();
             }
             int code = Main.run(role(), from, level);
             started = code == Main.OK;
             return code;
         }
-
-        private static Path fromVariable() {
-            String v = System.getenv(Main.SETTINGS_VARIABLE);
-            return v == null || v.isEmpty() ? null : Path.of(v);
-        }
     }
 
     @Command(name = "weft", mixinStandardHelpOptions = true, versionProvider = Version.class,
@@ -119,4 +136,16 @@
             return Main.UNFIT;
         }
     }
+
+    @Command(name = "rehearse", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Plays a small mesh in this one process, on the loopback address, and says whether it worked.")
+    static final class Rehearse implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            boolean well = Rehearsal.run();
+            System.out.println(well ? "the rehearsal went well" : "the rehearsal failed");
+            System.exit(well ? Main.OK : Main.FAILED);
+            return Main.OK;
+        }
+    }
 }
--- a/src/main/java/bramblespool/Main.java
+++ b/src/main/java/bramblespool/Main.java
@@ -54,7 +54,7 @@
             System.err.println("bramblespool: " + e.getMessage());
             return UNFIT;
         }
-        java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.WARNING);
+        quietLibraries();
         Log log = new Log(settings.node(), System.err, level);
         try {
             new Main(file, settings, log).start(role);
@@ -66,6 +66,10 @@
         }
     }
 
+    static void quietLibraries() {
+        java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.WARNING);
+    }
+
     private void start(String role) throws IOException, SQLException {
         CountDownLatch up = new CountDownLatch(1);
         Throwable[] failed = new Throwable[1];
--- /dev/null
+++ b/src/main/java/bramblespool/Rehearsal.java
@@ -0,0 +1,205 @@
+package bramblespool;
+
+import bramblespool.protocol.Names;
+import bramblespool.role.Daemon;
+import bramblespool.role.Helm;
+import bramblespool.role.Weft;
+import bramblespool.state.Log;
+import bramblespool.state.Settings;
+import bramblespool.transport.Loop;
+import bramblespool.transport.Ports;
+import bramblespool.transport.Stream;
+import bramblespool.transport.Upstream;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * A whole small mesh in one process on the loopback address: one helm, one weft, a stand-in server. It shows that an
+ * installation works, and the build runs it to record the classes for the class-data archive.
+ */
+final class Rehearsal {
+    private static final String IP = "127.0.0.1";
+    /** All machines of a system use the same ports, so the two daemons need two addresses. */
+    private static final String WEFT_IP = "127.0.0.2";
+    private static final long STEP_MS = 20_000;
+    private static final int TRIES = 200;
+    private static final String CONFIG = """
+            {"epoch":%d,"baseVersion":%d,
+             "routeTable":{"columns":["name","authority","pathPrefix","routeClass","deadline","goal","rank","shares","maxTries","target"],
+              "rows":[["r","rehearsal.example","/a/","idempotent","5s","1s",1,null,2,"stage"],
+                      ["s","rehearsal.example","/b/","mutating","5s","1s",1,[{"target":"stage","share":1}],2,null]]},
+             "serviceTable":{"columns":["name","probePath","maxConns","protocol","tls","warmup","warmPerS"],
+              "rows":[["stage","/health",10,"h1",false,"0ms",10.0]]},
+             "limits":{"headerBytes":16384,"bodyBytes":1048576,"headerRead":"3s","idle":"15s"}}
+            """;
+
+    private final Loop loop;
+    private final Ports ports;
+    private final Upstream upstream;
+    private final int[] port = new int[8];
+
+    private Rehearsal() throws IOException {
+        Log log = new Log("rehearsal", System.err, Log.Level.WARN);
+        loop = new Loop(log);
+        ports = new Ports(loop, log);
+        upstream = new Upstream(loop, ports.buffers());
+        ServerSocket[] held = new ServerSocket[port.length];
+        for (int i = 0; i < port.length; i++) {
+            held[i] = new ServerSocket(0, 1, InetAddress.getByName(IP));
+            port[i] = held[i].getLocalPort();
+        }
+        for (ServerSocket s : held) {
+            s.close();
+        }
+    }
+
+    private String at(int i) {
+        return IP + ":" + port[i];
+    }
+
+    private String settings(String machineClass, String node, String ip, String more) {
+        return """
+                node = "%s"
+                machineClass = "%s"
+                ip = "%s"
+                zone = "z"
+                region = "r"
+                portRange = [%d,%d]
+                seedPeers = ["%s"]
+                bootstrap = true
+                beat = "1500ms"
+                %s
+                [zones]
+                z = "r"
+                [limits]
+                memoryMb = 0
+                [bounds]
+                quiet = "3000ms"
+                ack = "5000ms"
+                drain = "2500ms"
+                grace = "1s"
+                apply = "2500ms"
+                retryRatio = 0.2
+                retryWindow = "10s"
+                retrySlack = 10
+                warmExcess = 1.5
+                warmSlack = 5
+                evac = "5000ms"
+                """.formatted(node, machineClass, ip, port[1], port[1], at(2), more);
+    }
+
+    /** Answers whether all steps went well. */
+    static boolean run() {
+        Main.quietLibraries();
+        try {
+            return new Rehearsal().play();
+        } catch (Exception e) {
+            System.err.println("bramblespool: the rehearsal failed: " + e);
+            return false;
+        }
+    }
+
+    private boolean play() throws Exception {
+        Path dir = Files.createTempDirectory("bramblespool");
+        ports.listen(at(0), x -> {
+            x.getResponseHeaders().put(Names.SEAL, "seal").put(Names.ATTEMPT, "x")
+                    .put(new HttpString("X-Instance-Id"), "i-1");
+            String attempt = x.getRequestHeaders().getFirst(Names.ATTEMPT);
+            if (attempt != null) {
+                x.getResponseHeaders().put(Names.ATTEMPT, attempt);
+            }
+            x.getResponseSender().send("played");
+        }, Ports.bounds(1 << 16, 1 << 20, 10_000, 10_000));
+        Settings helm = Settings.parse(settings("core", "helm-1", IP, "dataDir = \"" + dir + "\"\n[listeners]\ncontrol = \""
+                + at(2) + "\""), "rehearsal");
+        Settings weft = Settings.parse(settings("sidecar", "weft-1", WEFT_IP, "target = \"stage\"\nappAddr = \"" + at(0)
+                + "\"\n[listeners]\ncontrol = \"" + at(4) + "\"\ninbound = \"" + at(5) + "\"\noutbound = \"" + at(6)
+                + "\"\nready = \"" + at(7) + "\""), "rehearsal");
+        Log log = new Log("rehearsal", System.err, Log.Level.WARN);
+        Daemon h = new Helm(helm, loop, log);
+        Daemon w = new Weft(weft, loop, log);
+        step("the first configuration", () -> post(at(2), "/bramblespool/config/replace", CONFIG.formatted(1, 0)), 200);
+        step("a heartbeat", () -> post(at(4), "/bramblespool/servers/i-1/heartbeat",
+                "{\"target\":\"stage\",\"address\":\"" + at(0) + "\",\"zone\":\"z\",\"epoch\":\"v1\",\"capacity\":4,"
+                        + "\"state\":\"ready\",\"warmupLeft\":\"0ms\",\"callSeq\":1}"), 200);
+        step("readiness", () -> get(at(7), "/bramblespool/readiness"), 200);
+        step("a request", () -> get(at(6), "/a/1"), 200);
+        step("a request with a body", () -> post(at(6), "/b/1", "body"), 200);
+        step("a request to the gate", () -> get(at(5), "/a/2"), 200);
+        step("an unknown route", () -> get(at(6), "/none/"), 404);
+        step("a second configuration", () -> post(at(2), "/bramblespool/config/replace", CONFIG.formatted(3, 1)), 200);
+        step("reading it back", () -> get(at(2), "/bramblespool/config/read"), 200);
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        loop.post(() -> w.stop(helm.bounds().grace(), () -> h.stop(helm.bounds().grace(), () -> ended.complete(null))));
+        ended.get(STEP_MS, TimeUnit.MILLISECONDS);
+        try (var files = Files.list(dir)) {
+            for (Path f : files.toList()) {
+                Files.delete(f);
+            }
+        }
+        Files.delete(dir);
+        return true;
+    }
+
+    private interface Sending {
+        CompletableFuture<Integer> go();
+    }
+
+    private void step(String what, Sending sending, int wanted) throws InterruptedException, ExecutionException, TimeoutException {
+        int got = 0;
+        for (int i = 0; i < TRIES && got != wanted; i++) {
+            if (i > 0) {
+                TimeUnit.MILLISECONDS.sleep(50);
+            }
+            CompletableFuture<Integer> f = new CompletableFuture<>();
+            loop.post(() -> sending.go().thenAccept(f::complete));
+            got = f.get(STEP_MS, TimeUnit.MILLISECONDS);
+        }
+        if (got != wanted) {
+            throw new IllegalStateException(what + " was answered " + got);
+        }
+    }
+
+    private CompletableFuture<Integer> get(String address, String path) {
+        return send(address, "GET", path, new byte[0]);
+    }
+
+    private CompletableFuture<Integer> post(String address, String path, String body) {
+        return send(address, "POST", path, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private CompletableFuture<Integer> send(String address, String method, String path, byte[] body) {
+        CompletableFuture<Integer> out = new CompletableFuture<>();
+        HeaderMap headers = new HeaderMap();
+        headers.put(Headers.HOST, "rehearsal.example").put(Names.ATTEMPT, "a1").put(Names.DEADLINE, 3000)
+                .put(Names.MARK, "0");
+        if (body.length > 0) {
+            headers.put(Headers.CONTENT_LENGTH, body.length);
+        }
+        upstream.send(address, new Upstream.Manner(1000, 1000, 1 << 16),
+                new Upstream.Request(new HttpString(method), path, headers, new Stream.Body(body, null)),
+                new Upstream.Receiver() {
+                    @Override
+                    public void answer(Upstream.Answer a) {
+                        out.complete(a.code());
+                    }
+
+                    @Override
+                    public void failed(Upstream.Reach reach, String cause) {
+                        out.complete(0);
+                    }
+                });
+        return out;
+    }
+}
