Serve sooner after a restart: agreed index on disk, early first election, one probe

Cause: after all processes were killed the wefts waited 0.9 s for a leader before any version was told, though the disks knew what had been agreed; their servers' next beats were up to 1.5 s off. Excluded: start-up itself, measured before. Each write to the vault now carries how far entries were known to be agreed; a helm applies that far at its start and tells it. Several entries applied at once are told of once, so that an old evacuation is not played again. A weft that restarts asks its server once who it is.

--- a/src/main/java/bramblespool/coordination/Fleet.java
+++ b/src/main/java/bramblespool/coordination/Fleet.java
@@ -127,6 +127,17 @@
         return n;
     }
 
+    /** The least capacity that servers of a service are known to have, or the given one where none is known. */
+    public int capacityOf(String service, int otherwise) {
+        int least = Integer.MAX_VALUE;
+        for (Member m : byTarget.getOrDefault(service, List.of())) {
+            if (m.server != null && !m.server.isEmpty()) {
+                least = Math.min(least, m.capacity);
+            }
+        }
+        return least == Integer.MAX_VALUE ? otherwise : least;
+    }
+
     public boolean anyServer() {
         for (Member m : members.values()) {
             if (m.open && !m.gone) {
--- a/src/main/java/bramblespool/coordination/Gate.java
+++ b/src/main/java/bramblespool/coordination/Gate.java
@@ -163,7 +163,8 @@
         coldUntil = b.warmupLeft() > 0 ? now + b.warmupLeft() : 0;
         if (b.draining() && !draining) {
             draining = true;
-            drainingSince = now;
+            // One that is draining at the first word may have been acknowledged by an earlier life of this process.
+            drainingSince = fresh ? now - rules.drain : now;
             log.say(Event.SERVER_DRAINING, "server", id);
         }
         if (news || wasCold != cold(now)) {
@@ -173,6 +174,21 @@
         return null;
     }
 
+    /** Takes the word of a probe where no beat has come since this process started. */
+    public void probed(String who, int slots, long warmupLeft) {
+        if (id != null || ended.contains(who)) {
+            return;
+        }
+        id = who;
+        capacity = slots;
+        doubt = false;
+        down = false;
+        lastBeat = clock.now();
+        coldUntil = warmupLeft > 0 ? lastBeat + warmupLeft : 0;
+        log.say(Event.SERVER_NEW, "server", id, "capacity", slots, "cold", warmupLeft, "by", "probe");
+        changed.run();
+    }
+
     public void leave(String which) {
         ended.add(which);
         if (which.equals(id)) {
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -49,6 +49,7 @@
     private final Map<String, Long> published = new HashMap<>();
     private final long callMs;
     private boolean gone;
+    private boolean publishing;
 
     public HelmCore(Settings settings, Vault vault, String incarnation, Clock clock, Wire wire, Log log) {
         this.settings = settings;
@@ -77,7 +78,6 @@
     public void start() {
         long renew = settings.bounds().quiet() / RENEWALS;
         tellSelf();
-        publish();
         quorum.start();
         clock.every(renew, () -> {
             sweep();
@@ -270,7 +270,7 @@
     @Override
     public void apply(long index, JsonNode entry) {
         ledger.apply(index, entry);
-        publish();
+        publishSoon();
     }
 
     @Override
@@ -281,7 +281,7 @@
     @Override
     public void restore(JsonNode data) {
         ledger.restore(data);
-        publish();
+        publishSoon();
     }
 
     @Override
@@ -289,6 +289,17 @@
         commit.leading(leads);
     }
 
+    /** Several entries applied at once are told of once: only where they end counts. */
+    private void publishSoon() {
+        if (!publishing) {
+            publishing = true;
+            clock.soon(() -> {
+                publishing = false;
+                publish();
+            });
+        }
+    }
+
     /** Tells in the news what the ledger holds. */
     private void publish() {
         if (ledger.current().epoch() > 0) {
--- a/src/main/java/bramblespool/coordination/Quorum.java
+++ b/src/main/java/bramblespool/coordination/Quorum.java
@@ -126,11 +126,13 @@
             }
         }
         this.durable = last();
+        this.commit = Math.max(base.index(), Math.min(saved.commit(), last()));
         this.leaderHeard = clock.now() - times.election;
-        resetElection();
+        this.electionAt = clock.now() + soon();
     }
 
     public void start() {
+        apply();
         tick();
     }
 
@@ -216,6 +218,11 @@
         electionAt = clock.now() + times.election + (long) (clock.chance() * times.election);
     }
 
+    /** Until a first try: short, for the pre-vote of a try too early disturbs nobody. */
+    private long soon() {
+        return times.heartbeat + (long) (clock.chance() * times.election / 2);
+    }
+
     private void lead(long now) {
         if (!healthy()) {
             stepDown(term, "disk");
@@ -254,8 +261,10 @@
             leader = null;
             leaderControl = null;
             log.say(Event.ELECTION, "term", term);
+            resetElection();
+        } else {
+            electionAt = clock.now() + times.heartbeat + soon();
         }
-        resetElection();
         long asked = pre ? term + 1 : term;
         List<String> voters = voters();
         int[] granted = {0};
@@ -363,7 +372,7 @@
     }
 
     private void persist(long truncateFrom, List<Vault.Entry> added, Vault.Snapshot snapshot, Runnable done) {
-        vault.save(new Vault.Change(term, vote, truncateFrom, List.copyOf(added), snapshot), done);
+        vault.save(new Vault.Change(term, vote, commit, truncateFrom, List.copyOf(added), snapshot), done);
     }
 
     /** Proposes an entry; false means that this helm lost the lead, and says nothing about the entry. */
--- a/src/main/java/bramblespool/protocol/Names.java
+++ b/src/main/java/bramblespool/protocol/Names.java
@@ -15,6 +15,7 @@
     public static final HttpString NOT_RUN = new HttpString("X-Not-Executed");
     public static final HttpString CALLER = new HttpString("X-Caller-Service");
     public static final HttpString WARMUP = new HttpString("X-Warmup-Ms");
+    public static final HttpString INSTANCE_ID = new HttpString("X-Instance-Id");
     /** Between wefts only. */
     public static final HttpString MARK = new HttpString("X-Spool-Mark");
     public static final HttpString FROM = new HttpString("X-Spool-From");
--- a/src/main/java/bramblespool/role/Exchanges.java
+++ b/src/main/java/bramblespool/role/Exchanges.java
@@ -76,7 +76,11 @@
     }
 
     static long number(HttpServerExchange x, HttpString header) {
-        String v = x.getRequestHeaders().getFirst(header);
+        return number(x.getRequestHeaders().getFirst(header));
+    }
+
+    /** A number above 0; -1 where there is none, -2 where it is no such number. */
+    static long number(String v) {
         if (v == null) {
             return -1;
         }
--- a/src/main/java/bramblespool/role/Weft.java
+++ b/src/main/java/bramblespool/role/Weft.java
@@ -2,6 +2,7 @@
 
 import bramblespool.coordination.WeftCore;
 import bramblespool.protocol.Beat;
+import bramblespool.protocol.Names;
 import bramblespool.state.Config;
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
@@ -13,6 +14,7 @@
 import bramblespool.transport.Upstream;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
@@ -27,6 +29,8 @@
     /** Between wefts connections are kept so long that traffic comes back to most of them. */
     private static final int PEER_IDLE_MS = 60_000;
     private static final long CLIENT_HEADER = 1 << 20;
+    /** Slots granted to a server whose capacity nobody has told yet. */
+    private static final int FIRST_SLOTS = 2;
 
     private final Loop loop;
     private final Log log;
@@ -37,14 +41,18 @@
     private Config.Limits limits;
     private boolean stopping;
     private boolean said;
+    private boolean probed;
+    private final Settings settings;
+    private final Upstream upstream;
 
     public Weft(Settings s, Loop loop, Log log) throws IOException {
         this.loop = loop;
         this.log = log;
+        this.settings = s;
         Settings.Bounds b = s.bounds();
         long connectMs = b.quiet() / 12;
         ports = new Ports(loop, log);
-        Upstream upstream = new Upstream(loop, ports.buffers());
+        upstream = new Upstream(loop, ports.buffers());
         HttpWire wire = new HttpWire(loop, upstream, ports.buffers(), PEER_IDLE_MS / 2, log);
         core = new WeftCore(s, loop, wire, log);
         wire.serve(core);
@@ -85,12 +93,49 @@
             limits = c.limits;
             clients.setUndertowOptions(clientBounds());
         }
+        if (c != null && !probed) {
+            probed = true;
+            if (core.gate.id() == null && !settings.bootstrap()) {
+                probe(c);
+            }
+        }
         if (core.ready() && !said) {
             said = true;
             log.say(Event.READY, "epoch", c.epoch);
         }
     }
 
+    /** After a restart the server may have been running all along, and its next beat is some way off: it is asked once. */
+    private void probe(Config c) {
+        Config.Service service = c.services.get(settings.target());
+        if (service == null) {
+            return;
+        }
+        HeaderMap headers = new HeaderMap();
+        headers.put(Headers.HOST, settings.appAddr());
+        long patience = settings.bounds().quiet() / 6;
+        Upstream.Call[] call = new Upstream.Call[1];
+        var timer = loop.after(patience, () -> call[0].drop());
+        call[0] = upstream.send(settings.appAddr(), new Upstream.Manner(patience, patience, BEAT_BYTES),
+                new Upstream.Request(Methods.GET, service.probePath(), headers, Stream.Body.EMPTY),
+                new Upstream.Receiver() {
+                    @Override
+                    public void answer(Upstream.Answer a) {
+                        timer.cancel();
+                        String id = a.headers().getFirst(Names.INSTANCE_ID);
+                        if (a.code() == 200 && id != null) {
+                            core.gate.probed(id, core.fleet.capacityOf(settings.target(), FIRST_SLOTS),
+                                    Math.max(0, Exchanges.number(a.headers().getFirst(Names.WARMUP))));
+                        }
+                    }
+
+                    @Override
+                    public void failed(Upstream.Reach reach, String cause) {
+                        timer.cancel();
+                    }
+                });
+    }
+
     private void readiness(HttpServerExchange x) {
         if (!x.getRequestURI().equals(READY)) {
             x.setStatusCode(404);
--- a/src/main/java/bramblespool/state/SqliteVault.java
+++ b/src/main/java/bramblespool/state/SqliteVault.java
@@ -47,7 +47,7 @@
             s.execute("PRAGMA synchronous=FULL");
             s.execute("PRAGMA cache_size=-512");
             s.execute("PRAGMA wal_autocheckpoint=" + CHECKPOINT_PAGES);
-            s.execute("CREATE TABLE IF NOT EXISTS self(id INTEGER PRIMARY KEY CHECK(id=1), incarnation TEXT, term INTEGER, vote TEXT)");
+            s.execute("CREATE TABLE IF NOT EXISTS self(id INTEGER PRIMARY KEY CHECK(id=1), incarnation TEXT, term INTEGER, vote TEXT, agreed INTEGER)");
             s.execute("CREATE TABLE IF NOT EXISTS log(idx INTEGER PRIMARY KEY, term INTEGER, data TEXT)");
             s.execute("CREATE TABLE IF NOT EXISTS snapshot(id INTEGER PRIMARY KEY CHECK(id=1), idx INTEGER, term INTEGER, voters TEXT, data TEXT)");
         }
@@ -63,13 +63,15 @@
             String incarnation;
             String vote;
             long term;
-            try (ResultSet r = s.executeQuery("SELECT incarnation, term, vote FROM self")) {
+            long agreed;
+            try (ResultSet r = s.executeQuery("SELECT incarnation, term, vote, agreed FROM self")) {
                 if (!r.next()) {
                     return null;
                 }
                 incarnation = r.getString(1);
                 term = r.getLong(2);
                 vote = r.getString(3);
+                agreed = r.getLong(4);
             }
             Snapshot snapshot = null;
             try (ResultSet r = s.executeQuery("SELECT idx, term, voters, data FROM snapshot")) {
@@ -85,7 +87,7 @@
                 }
             }
             db.commit();
-            return new Saved(incarnation, term, vote, snapshot, entries);
+            return new Saved(incarnation, term, vote, agreed, snapshot, entries);
         } catch (SQLException e) {
             throw new IllegalStateException(e);
         }
@@ -93,7 +95,7 @@
 
     @Override
     public void found(String incarnation, List<Entry> first) {
-        try (PreparedStatement p = db.prepareStatement("INSERT INTO self VALUES(1,?,0,NULL)");
+        try (PreparedStatement p = db.prepareStatement("INSERT INTO self VALUES(1,?,0,NULL,0)");
                 PreparedStatement add = db.prepareStatement("INSERT INTO log VALUES(?,?,?)")) {
             p.setString(1, incarnation);
             p.executeUpdate();
@@ -172,7 +174,7 @@
     }
 
     private void write(List<Job> batch) throws SQLException {
-        try (PreparedStatement self = db.prepareStatement("UPDATE self SET term=?, vote=?");
+        try (PreparedStatement self = db.prepareStatement("UPDATE self SET term=?, vote=?, agreed=?");
                 PreparedStatement cut = db.prepareStatement("DELETE FROM log WHERE idx>=?");
                 PreparedStatement drop = db.prepareStatement("DELETE FROM log WHERE idx<=?");
                 PreparedStatement add = db.prepareStatement("INSERT OR REPLACE INTO log VALUES(?,?,?)");
@@ -181,6 +183,7 @@
                 Change c = j.change;
                 self.setLong(1, c.term());
                 self.setString(2, c.vote());
+                self.setLong(3, c.commit());
                 self.executeUpdate();
                 if (c.truncateFrom() > 0) {
                     cut.setLong(1, c.truncateFrom());
--- a/src/main/java/bramblespool/state/Vault.java
+++ b/src/main/java/bramblespool/state/Vault.java
@@ -11,11 +11,12 @@
     record Snapshot(long index, long term, List<String> voters, String data) {
     }
 
-    record Saved(String incarnation, long term, String vote, Snapshot snapshot, List<Entry> entries) {
+    /** {@code commit}: up to where entries were known to be agreed when something was last written. */
+    record Saved(String incarnation, long term, String vote, long commit, Snapshot snapshot, List<Entry> entries) {
     }
 
     /** Vote and term, removal of entries from an index on (0: none), entries to add, a snapshot that replaces what it covers. */
-    record Change(long term, String vote, long truncateFrom, List<Entry> append, Snapshot snapshot) {
+    record Change(long term, String vote, long commit, long truncateFrom, List<Entry> append, Snapshot snapshot) {
     }
 
     /** What the disk holds, or null where it is empty. */
