Gate refuses what would miss its aim, reckoning with the spread of the work

Excluded: servers slowing down (the work per request stayed the same), uneven choice (busiest/mean 1.06). A queue that grows to the deadlines serves not one request more. The gate now lets wait only what it expects to end inside its aim, with 1.5 mean deviations above the mean work; other gates are tried first, then the client hears when to come back.

--- a/src/main/java/bramblespool/coordination/Gate.java
+++ b/src/main/java/bramblespool/coordination/Gate.java
@@ -85,6 +85,10 @@
     private static final int QUEUE_PER_SLOT = 4;
     /** Share of a cold server's hard bound that is used, so that a late arrival never crosses it. */
     private static final double WARM_SHARE = 0.62;
+    /** A request whose work alone takes longer than its aim may still wait this part of its work. */
+    private static final double LEAST_ROOM = 1.1;
+    /** Mean deviations above the mean within which a request is counted on to be done. */
+    private static final double DEVIATIONS = 1.5;
     private static final long SECOND = 1000;
     private static final double LEARN = 0.1;
     private static final double FIRST_GUESS_MS = 100;
@@ -113,6 +117,7 @@
     private final List<Ticket> queue = new ArrayList<>();
     private final LongArrayFIFOQueue arrivals = new LongArrayFIFOQueue();
     private final Object2DoubleOpenHashMap<String> work = new Object2DoubleOpenHashMap<>();
+    private final Object2DoubleOpenHashMap<String> deviation = new Object2DoubleOpenHashMap<>();
     private double meanWork = FIRST_GUESS_MS;
     private Clock.Timer warmTimer;
 
@@ -280,7 +285,7 @@
     // ---- requests
 
     /** Lets a request through, queues it, or refuses it at once. */
-    public Ticket offer(String route, int rank, long deadline, Runnable go, Consumer<Refusal> refused) {
+    public Ticket offer(String route, int rank, long goal, long deadline, Runnable go, Consumer<Refusal> refused) {
         Ticket t = new Ticket(route, rank, deadline, go, refused);
         long now = clock.now();
         Refusal no = shut(now);
@@ -299,7 +304,10 @@
         double need = expected(route);
         double perStart = cold(now) && warmPerS > 0 ? SECOND / warmPerS : meanWork / Math.max(1, capacity);
         double wait = (ahead + 0.5) * perStart;
-        if (queue.size() >= capacity * QUEUE_PER_SLOT || now + wait + need > deadline) {
+        // What would be too late for its aim is better tried elsewhere, or a little later, than kept: a queue that
+        // grows to the deadlines makes everybody late and serves not one request more.
+        double room = goal > 0 ? Math.min(deadline - now, Math.max(goal, need * LEAST_ROOM)) : deadline - now;
+        if (queue.size() >= capacity * QUEUE_PER_SLOT || wait + need > room) {
             refused.accept(new Refusal(cold(now) ? "cold" : "full", Math.max(20, (long) (wait + perStart))));
             return t;
         }
@@ -398,14 +406,17 @@
         }
     }
 
+    /** The time that most requests of a route need once they are let through. */
     private double expected(String route) {
         double w = work.getDouble(route);
-        return w < 0 ? FIRST_GUESS_MS : w;
+        return w < 0 ? FIRST_GUESS_MS : w + DEVIATIONS * Math.max(0, deviation.getDouble(route));
     }
 
     private void learn(String route, long ms) {
         double w = work.getDouble(route);
         work.put(route, w < 0 ? ms : w + LEARN * (ms - w));
+        double d = Math.max(0, deviation.getDouble(route));
+        deviation.put(route, d + LEARN * (Math.abs(ms - (w < 0 ? ms : w)) - d));
         meanWork += LEARN * (ms - meanWork);
     }
 }
--- a/src/main/java/bramblespool/role/Courier.java
+++ b/src/main/java/bramblespool/role/Courier.java
@@ -76,7 +76,7 @@
 
     void serve(Parcel p, Config.Route route, Taker taker) {
         Run run = new Run(p, taker);
-        run.ticket = gate.offer(route.name(), route.rank(), p.deadline, run::go,
+        run.ticket = gate.offer(route.name(), route.rank(), route.goal(), p.deadline, run::go,
                 r -> taker.take(Result.neverRan(r.why(), r.retryMs(), false), null));
         if (run.early) {
             run.send();
