First come, first served within a rank at the gate

Cause: within a rank the earlier deadline went first, so that inner calls with short deadlines starved the ink orders of the same rank.

--- a/src/main/java/bramblespool/coordination/Gate.java
+++ b/src/main/java/bramblespool/coordination/Gate.java
@@ -322,7 +322,7 @@
     }
 
     private static boolean before(Ticket a, Ticket b) {
-        return a.rank < b.rank || a.rank == b.rank && a.deadline <= b.deadline;
+        return a.rank <= b.rank;
     }
 
     private Refusal shut(long now) {
