Whole clusters on a simulated network, clock and disks; cells push news to their wefts

Twelve seeded schedules of kills, wipes, cuts, full disks and rival changes hold: one winner per base, nothing acknowledged lost, no weft goes back within a life. The evacuation test showed that passing news to two others by chance left some wefts to the next comparison of digests; a cell now tells each change to its own wefts, a weft to its helm.

--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -12,6 +12,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -58,7 +59,7 @@
         this.log = log;
         Settings.Bounds b = settings.bounds();
         this.callMs = b.quiet() / CALLS;
-        this.news = new News(clock, wire, callMs, this::others);
+        this.news = new News(clock, wire, callMs, this::others, this::ownWefts);
         news.author(Fleet.HELM + settings.node(), this::tellSelf);
         news.listen(this::heard);
         if (vault.load() == null) {
@@ -127,12 +128,18 @@
 
     private List<String> others() {
         Set<String> out = helms();
+        out.addAll(ownWefts());
+        return List.copyOf(out);
+    }
+
+    private List<String> ownWefts() {
+        List<String> out = new ArrayList<>();
         for (Session s : sessions.values()) {
             if (s.open) {
                 out.add(s.peer);
             }
         }
-        return List.copyOf(out);
+        return out;
     }
 
     // ---- sessions
--- a/src/main/java/bramblespool/coordination/News.java
+++ b/src/main/java/bramblespool/coordination/News.java
@@ -8,8 +8,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -39,6 +41,7 @@
     private final Wire wire;
     private final long callMs;
     private final Supplier<List<String>> others;
+    private final Supplier<List<String>> near;
     private final Map<String, Item> items = new TreeMap<>();
     private final List<Consumer<Item>> listeners = new ArrayList<>();
     private final List<Item> fresh = new ArrayList<>();
@@ -48,11 +51,13 @@
     private long hash;
     private Runnable outlived = () -> { };
 
-    public News(Clock clock, Wire wire, long callMs, Supplier<List<String>> others) {
+    /** {@code near}: those who are told of every change: a cell's own wefts, or a weft's helm. */
+    public News(Clock clock, Wire wire, long callMs, Supplier<List<String>> others, Supplier<List<String>> near) {
         this.clock = clock;
         this.wire = wire;
         this.callMs = callMs;
         this.others = others;
+        this.near = near;
     }
 
     /** Says which item this daemon itself authors, and what to do when an earlier life of it is heard of. */
@@ -121,7 +126,9 @@
         fresh.clear();
         ObjectNode m = JsonNodeFactory.instance.objectNode();
         write(m, now);
-        for (String to : some(FANOUT)) {
+        Set<String> told = new LinkedHashSet<>(near.get());
+        told.addAll(some(FANOUT));
+        for (String to : told) {
             wire.call(to, "news", m, callMs, a -> { });
         }
     }
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -54,7 +54,8 @@
         this.log = log;
         Settings.Bounds b = settings.bounds();
         this.callMs = b.quiet() / CALLS;
-        this.news = new News(clock, wire, callMs, this::others);
+        this.news = new News(clock, wire, callMs, this::others,
+                () -> helm == null || !sessionOpen ? List.of() : List.of(helm));
         this.fleet = new Fleet(clock, settings.node(), settings.zone(), b.quiet() / 3);
         this.shadow = new Shadow(clock, b.apply() * 2 / 5, log);
         this.gate = new Gate(clock, new Gate.Rules(settings.beat(), b.drain(), b.warmExcess(), b.warmSlack()),
--- /dev/null
+++ b/src/test/java/bramblespool/ClusterTest.java
@@ -0,0 +1,275 @@
+package bramblespool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import bramblespool.coordination.HelmCore;
+import bramblespool.coordination.WeftCore;
+import bramblespool.protocol.Orders;
+import bramblespool.sim.SimMesh;
+import bramblespool.state.Ledger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Whole clusters on a simulated network, clock and disks. */
+class ClusterTest {
+    private static Orders.Outcome order(SimMesh mesh, long epoch, long base, String prefix) {
+        Orders.Outcome[] got = new Orders.Outcome[1];
+        mesh.order(SimMesh.change(epoch, base, prefix), o -> got[0] = o);
+        for (int i = 0; i < 60 && got[0] == null; i++) {
+            mesh.world.run(50);
+        }
+        return got[0];
+    }
+
+    private static void epochs(SimMesh mesh, long wanted) {
+        mesh.wefts.forEach((peer, w) -> assertEquals(wanted, w.shadow.epoch(), peer));
+    }
+
+    @Test
+    void aQuietClusterCommitsThroughAllFourPhases() {
+        SimMesh mesh = new SimMesh(1, 3, 6);
+        mesh.world.run(4000);
+        assertEquals(200, order(mesh, 5, 0, "one").status());
+        mesh.world.run(1000);
+        assertEquals(200, order(mesh, 9, 5, "two").status());
+        mesh.world.run(1000);
+        epochs(mesh, 9);
+        HelmCore leader = mesh.leader();
+        assertEquals(Ledger.Phase.MARKED, leader.ledger().phase());
+        assertTrue(leader.commit.unconfirmed().isEmpty(), "all confirmed");
+        for (WeftCore w : mesh.wefts.values()) {
+            assertEquals("0", w.shadow.mark(), "marking is back to the bit");
+            assertEquals(5, w.shadow.shadow().epoch, "the old version is the shadow");
+        }
+    }
+
+    @Test
+    void staleInvalidAndRepeatedChangesAreToldApart() {
+        SimMesh mesh = new SimMesh(2, 3, 3);
+        mesh.world.run(4000);
+        assertEquals(200, order(mesh, 5, 0, "one").status());
+        assertEquals(200, order(mesh, 5, 0, "one").status(), "an exact repeat");
+        assertEquals(412, order(mesh, 7, 0, "two").status(), "a stale base");
+        assertEquals(400, order(mesh, 5, 5, "two").status(), "an epoch not above the current one");
+        assertEquals(200, order(mesh, 8, 5, "two").status());
+    }
+
+    @Test
+    void aSilentWeftDoesNotHoldUpTheCommitAndCatchesUp() {
+        SimMesh mesh = new SimMesh(3, 3, 6);
+        mesh.world.run(4000);
+        order(mesh, 5, 0, "one");
+        String away = SimMesh.weftPeer(2);
+        mesh.world.isolate(away, true);
+        assertEquals(200, order(mesh, 6, 5, "two").status());
+        mesh.world.run(3000);
+        assertEquals(5, mesh.wefts.get(away).shadow.epoch());
+        assertFalse(mesh.leader().commit.unconfirmed().isEmpty(), "left unconfirmed");
+        mesh.world.isolate(away, false);
+        mesh.world.run(2500);
+        epochs(mesh, 6);
+    }
+
+    @Test
+    void theNextLeaderTakesUpThePhase() {
+        for (int cutAt = 2; cutAt < 120; cutAt += 9) {
+            SimMesh mesh = new SimMesh(100 + cutAt, 3, 4);
+            mesh.world.run(4000);
+            order(mesh, 5, 0, "one");
+            mesh.world.run(500);
+            Orders.Outcome[] got = new Orders.Outcome[1];
+            mesh.order(SimMesh.change(6, 5, "two"), o -> got[0] = o);
+            mesh.world.run(cutAt);
+            String led = mesh.leader().quorum.self().split("#")[0];
+            boolean acknowledged = got[0] != null && got[0].status() == 200;
+            mesh.killHelm(led, true);
+            mesh.world.run(8000);
+            assertNotNull(mesh.leader(), "a new leader");
+            long now = mesh.leader().ledger().current().epoch();
+            if (acknowledged) {
+                assertEquals(6, now, "acknowledged, killed after " + cutAt);
+            }
+            epochs(mesh, now);
+            assertEquals(Ledger.Phase.MARKED, mesh.leader().ledger().phase());
+            assertEquals(200, order(mesh, 9, now, "three").status(), "the group goes on");
+        }
+    }
+
+    @Test
+    void aWipedHelmComesBackAsANewMember() {
+        SimMesh mesh = new SimMesh(4, 3, 3);
+        mesh.world.run(4000);
+        order(mesh, 5, 0, "one");
+        String peer = SimMesh.helmPeer(1);
+        mesh.killHelm(peer, true);
+        mesh.world.machine(peer).disk.wipe();
+        mesh.world.run(500);
+        mesh.startHelm(peer, false);
+        mesh.world.run(6000);
+        List<String> voters = mesh.leader().quorum.voters();
+        assertEquals(3, voters.size(), voters.toString());
+        assertFalse(voters.contains(peer + "#0"), "the wiped incarnation is out: " + voters);
+        // With its place taken the group bears the loss of another.
+        mesh.killHelm(SimMesh.helmPeer(0), true);
+        mesh.world.run(5000);
+        assertEquals(5, mesh.leader().ledger().current().epoch());
+    }
+
+    @Test
+    void aFullDiskAcknowledgesNothingAndRecovers() {
+        SimMesh mesh = new SimMesh(5, 3, 3);
+        mesh.world.run(4000);
+        order(mesh, 5, 0, "one");
+        String led = mesh.leader().quorum.self().split("#")[0];
+        mesh.world.machine(led).disk.full = true;
+        mesh.order(SimMesh.change(6, 5, "two"), o -> { });
+        mesh.world.run(4000);
+        assertFalse(mesh.helms.get(led).quorum.leads(), "a helm that cannot sync gives up the lead");
+        long now = mesh.leader().ledger().current().epoch();
+        assertEquals(200, order(mesh, 8, now, "three").status());
+        mesh.world.machine(led).disk.full = false;
+        mesh.world.run(3000);
+        assertEquals(8, mesh.helms.get(led).ledger().current().epoch());
+    }
+
+    @Test
+    void sessionsMoveWhenAHelmIsLostAndNewsStillTravels() {
+        SimMesh mesh = new SimMesh(6, 3, 6);
+        mesh.world.run(4000);
+        order(mesh, 5, 0, "one");
+        mesh.killHelm(SimMesh.helmPeer(0), true);
+        mesh.world.run(4000);
+        mesh.wefts.forEach((p, w) -> assertTrue(w.sessionOpen(), p));
+        mesh.helms.keySet().stream().toList().forEach(h -> mesh.killHelm(h, true));
+        mesh.killWeft(SimMesh.weftPeer(0));
+        mesh.startWeft(SimMesh.weftPeer(0));
+        mesh.world.run(6000);
+        WeftCore back = mesh.wefts.get(SimMesh.weftPeer(0));
+        assertEquals(5, back.shadow.epoch(), "with the whole core gone the other wefts tell the version");
+        assertTrue(back.ready());
+    }
+
+    @Test
+    void anEvacuationOutlivesEveryHelm() {
+        SimMesh mesh = new SimMesh(7, 3, 6);
+        mesh.world.run(4000);
+        order(mesh, 5, 0, "one");
+        boolean[] ok = new boolean[1];
+        mesh.leader().evacuate("b", true, r -> ok[0] = r);
+        mesh.world.run(300);
+        assertTrue(ok[0]);
+        mesh.wefts.forEach((p, w) -> assertTrue(w.fleet.evacuated("b"), p));
+        mesh.helms.keySet().stream().toList().forEach(h -> mesh.killHelm(h, true));
+        mesh.wefts.keySet().stream().toList().forEach(mesh::killWeft);
+        for (int i = 0; i < 3; i++) {
+            mesh.startHelm(SimMesh.helmPeer(i), false);
+        }
+        for (int i = 0; i < 6; i++) {
+            mesh.startWeft(SimMesh.weftPeer(i));
+        }
+        mesh.world.run(3000);
+        mesh.wefts.forEach((p, w) -> assertTrue(w.fleet.evacuated("b"), p));
+        epochs(mesh, 5);
+    }
+
+    /** Faults at times drawn from the seed; what was acknowledged holds, and nobody goes back. */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22})
+    void nothingAcknowledgedIsLostWhateverFails(long seed) {
+        SimMesh mesh = new SimMesh(seed, seed % 2 == 0 ? 3 : 4, 5);
+        Random r = mesh.world.random;
+        Map<WeftCore, Long> highest = new IdentityHashMap<>();
+        Map<Long, Long> winners = new HashMap<>();
+        long[] acknowledged = new long[1];
+        List<String> broken = new ArrayList<>();
+        mesh.world.afterEach = () -> mesh.wefts.values().forEach(w -> {
+            long e = w.shadow.epoch();
+            if (e < highest.getOrDefault(w, 0L)) {
+                broken.add("a weft went back from " + highest.get(w) + " to " + e);
+            }
+            highest.put(w, e);
+        });
+        mesh.world.run(4000);
+        long[] epoch = {1};
+        int helmCount = mesh.helms.size();
+        for (int round = 0; round < 25; round++) {
+            HelmCore l = mesh.leader();
+            long base = l == null ? 0 : l.ledger().current().epoch();
+            for (int rival = 0; rival < 2; rival++) {
+                long mine = ++epoch[0] + base;
+                mesh.order(SimMesh.change(mine, base, "p" + mine), o -> {
+                    if (o.status() == 200) {
+                        Long other = winners.put(base, mine);
+                        if (other != null && other != mine) {
+                            broken.add("two changes on " + base + ": " + other + " and " + mine);
+                        }
+                        acknowledged[0] = Math.max(acknowledged[0], mine);
+                    }
+                });
+            }
+            mesh.world.run(r.nextInt(150));
+            String peer = SimMesh.helmPeer(r.nextInt(helmCount));
+            switch (r.nextInt(7)) {
+                case 0 -> {
+                    mesh.killHelm(peer, true);
+                    mesh.world.run(r.nextInt(2500));
+                    mesh.startHelm(peer, false);
+                }
+                case 1 -> {
+                    mesh.killHelm(peer, true);
+                    mesh.world.machine(peer).disk.wipe();
+                    mesh.world.run(200 + r.nextInt(1000));
+                    mesh.startHelm(peer, false);
+                    // Another loss is allowed only once this one has been made good.
+                    mesh.world.run(6000);
+                }
+                case 2 -> {
+                    mesh.world.isolate(peer, true);
+                    mesh.world.run(r.nextInt(4000));
+                    mesh.world.isolate(peer, false);
+                }
+                case 3 -> {
+                    List<String> all = List.copyOf(mesh.helms.keySet());
+                    all.forEach(h -> mesh.killHelm(h, r.nextBoolean()));
+                    mesh.world.run(r.nextInt(1000));
+                    all.forEach(h -> mesh.startHelm(h, false));
+                }
+                case 4 -> {
+                    String w = SimMesh.weftPeer(r.nextInt(5));
+                    mesh.killWeft(w);
+                    mesh.world.run(r.nextInt(1500));
+                    mesh.startWeft(w);
+                }
+                case 5 -> {
+                    mesh.world.machine(peer).disk.full = true;
+                    mesh.world.run(r.nextInt(3000));
+                    mesh.world.machine(peer).disk.full = false;
+                }
+                default -> {
+                    String other = SimMesh.helmPeer(r.nextInt(helmCount));
+                    mesh.world.cut(peer, other, true);
+                    mesh.world.run(r.nextInt(3000));
+                    mesh.world.cut(peer, other, false);
+                }
+            }
+            mesh.world.run(2500 + r.nextInt(2500));
+            assertEquals(List.of(), broken, "round " + round);
+            assertNotNull(mesh.leader(), "a leader in round " + round);
+            long now = mesh.leader().ledger().current().epoch();
+            assertTrue(now >= acknowledged[0], "round " + round + ": " + acknowledged[0] + " was acknowledged, " + now
+                    + " is in force");
+        }
+        mesh.world.run(5000);
+        epochs(mesh, mesh.leader().ledger().current().epoch());
+    }
+}
--- /dev/null
+++ b/src/test/java/bramblespool/sim/SimMesh.java
@@ -0,0 +1,157 @@
+package bramblespool.sim;
+
+import bramblespool.coordination.HelmCore;
+import bramblespool.coordination.WeftCore;
+import bramblespool.protocol.Beat;
+import bramblespool.protocol.Orders;
+import bramblespool.state.Config;
+import bramblespool.state.Log;
+import bramblespool.state.Settings;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Helms and wefts of several zones on a simulated world, with an operator who follows the leader. */
+public final class SimMesh {
+    public final SimWorld world;
+    public final Map<String, HelmCore> helms = new LinkedHashMap<>();
+    public final Map<String, WeftCore> wefts = new LinkedHashMap<>();
+    private final List<String> seeds = new ArrayList<>();
+    private int incarnations;
+    private int beats;
+    public static final String[] ZONES = {"a", "b", "c"};
+
+    public SimMesh(long seed, int helmCount, int weftCount) {
+        world = new SimWorld(seed);
+        for (int i = 0; i < Math.min(3, helmCount); i++) {
+            seeds.add("10.0.0." + (i + 1) + ":8000");
+        }
+        for (int i = 0; i < helmCount; i++) {
+            startHelm(helmPeer(i), true);
+        }
+        for (int i = 0; i < weftCount; i++) {
+            startWeft(weftPeer(i));
+        }
+    }
+
+    public static String helmPeer(int i) {
+        return "10.0.0." + (i + 1) + ":7000";
+    }
+
+    public static String weftPeer(int i) {
+        return "10.0.1." + (i + 1) + ":7000";
+    }
+
+    public static Settings settings(String peer, List<String> seeds, boolean bootstrap) {
+        String ip = peer.substring(0, peer.indexOf(':'));
+        boolean helm = ip.startsWith("10.0.0.");
+        int last = Integer.parseInt(ip.substring(ip.lastIndexOf('.') + 1));
+        String text = """
+                node = "%s-%d"
+                machineClass = "%s"
+                ip = "%s"
+                zone = "%s"
+                portRange = [7000, 7010]
+                seedPeers = [%s]
+                bootstrap = %s
+                dataDir = "/none"
+                appAddr = "%s:9000"
+                target = "desk"
+                [listeners]
+                control = "%s:8000"
+                inbound = "%s:8001"
+                outbound = "%s:8002"
+                ready = "%s:8003"
+                [limits]
+                memoryMb = 0
+                [bounds]
+                quiet = "3s"
+                ack = "5s"
+                drain = "2500ms"
+                grace = "6s"
+                apply = "2500ms"
+                retryRatio = 0.2
+                retryWindow = "10s"
+                retrySlack = 60
+                evac = "5s"
+                """.formatted(helm ? "helm" : "weft", last, helm ? "core" : "sidecar", ip, ZONES[(last - 1) % 3],
+                seeds.stream().map(s -> '"' + s + '"').reduce((a, b) -> a + "," + b).orElse(""), bootstrap, ip, ip, ip,
+                ip, ip);
+        try {
+            return Settings.parse(text, "simulated");
+        } catch (Settings.Unfit e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    public void startHelm(String peer, boolean bootstrap) {
+        SimWorld.Machine m = world.machine(peer);
+        m.boot();
+        HelmCore h = new HelmCore(settings(peer, seeds, bootstrap), m.disk, "i" + ++incarnations, m, m, Log.silent());
+        m.serve(h);
+        helms.put(peer, h);
+        h.start();
+    }
+
+    public void killHelm(String peer, boolean power) {
+        world.machine(peer).kill(power);
+        helms.remove(peer);
+    }
+
+    public void startWeft(String peer) {
+        SimWorld.Machine m = world.machine(peer);
+        m.boot();
+        WeftCore w = new WeftCore(settings(peer, seeds, false), m, m, Log.silent());
+        m.serve(w);
+        wefts.put(peer, w);
+        w.start();
+        String id = "s-" + peer + "-" + ++beats;
+        m.every(1500, () -> w.beat(new Beat(id, "desk", peer.substring(0, peer.indexOf(':')) + ":9000", "a", 6, false, 0,
+                ++beats)));
+    }
+
+    public void killWeft(String peer) {
+        world.machine(peer).kill(false);
+        wefts.remove(peer);
+    }
+
+    public HelmCore leader() {
+        HelmCore best = null;
+        for (HelmCore h : helms.values()) {
+            if (h.quorum.leads() && (best == null || h.quorum.term() > best.quorum.term())) {
+                best = h;
+            }
+        }
+        return best;
+    }
+
+    public static String document(long epoch, long base, String prefix) {
+        return """
+                {"epoch":%d,"baseVersion":%d,
+                 "routeTable":{"columns":["name","authority","pathPrefix","routeClass","deadline","goal","rank","shares","maxTries","target"],
+                  "rows":[["r","x.example","/%s/","idempotent","1500ms","600ms",1,null,2,"desk"]]},
+                 "serviceTable":{"columns":["name","probePath","maxConns","protocol","tls","warmup","warmPerS"],
+                  "rows":[["desk","/health",100,"h1",false,"3s",13.0]]},
+                 "limits":{"headerBytes":16384,"bodyBytes":1000000,"headerRead":"3s","idle":"15s"}}
+                """.formatted(epoch, base, prefix);
+    }
+
+    public static Orders.Change change(long epoch, long base, String prefix) {
+        try {
+            return Orders.change(false, document(epoch, base, prefix).getBytes(StandardCharsets.UTF_8));
+        } catch (Config.Invalid e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Sends a change to whoever leads now; nothing is heard where nobody does or the leader goes. */
+    public void order(Orders.Change change, Consumer<Orders.Outcome> done) {
+        HelmCore l = leader();
+        if (l != null) {
+            l.change(change, done);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/bramblespool/sim/SimWorld.java
@@ -0,0 +1,279 @@
+package bramblespool.sim;
+
+import bramblespool.state.Vault;
+import bramblespool.transport.Clock;
+import bramblespool.transport.Wire;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** A network, a clock and disks that exist only in this object; everything follows from the seed. */
+public final class SimWorld {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private record Event(long at, long order, Runnable task) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event o) {
+            return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
+        }
+    }
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    public final Random random;
+    private long now = 1_000_000;
+    private long order;
+    private final Map<String, Machine> machines = new HashMap<>();
+    private final Set<String> cuts = new HashSet<>();
+    public Runnable afterEach = () -> { };
+    public long messages;
+
+    public SimWorld(long seed) {
+        random = new Random(seed);
+    }
+
+    public long now() {
+        return now;
+    }
+
+    public void at(long ms, Runnable task) {
+        events.add(new Event(now + ms, order++, task));
+    }
+
+    public void run(long ms) {
+        long end = now + ms;
+        while (!events.isEmpty() && events.peek().at <= end) {
+            Event e = events.poll();
+            now = e.at;
+            e.task.run();
+            afterEach.run();
+        }
+        now = end;
+    }
+
+    public Machine machine(String peer) {
+        return machines.computeIfAbsent(peer, Machine::new);
+    }
+
+    /** Cuts what goes from one machine to another, in that direction. */
+    public void cut(String from, String to, boolean on) {
+        if (on) {
+            cuts.add(from + ">" + to);
+        } else {
+            cuts.remove(from + ">" + to);
+        }
+    }
+
+    public void isolate(String who, boolean on) {
+        for (String other : machines.keySet()) {
+            cut(who, other, on);
+            cut(other, who, on);
+        }
+    }
+
+    /** A machine with one process at a time; each start is a new life. */
+    public final class Machine implements Wire, Clock {
+        public final String peer;
+        private int life;
+        private boolean up;
+        private Service service;
+        public final Disk disk = new Disk(this);
+
+        private Machine(String peer) {
+            this.peer = peer;
+        }
+
+        public boolean up() {
+            return up;
+        }
+
+        public void boot() {
+            life++;
+            up = true;
+        }
+
+        public void serve(Service s) {
+            service = s;
+        }
+
+        /** Ends the process; {@code power}: what was not yet synced is lost with it. */
+        public void kill(boolean power) {
+            up = false;
+            life++;
+            service = null;
+            disk.crash(power);
+        }
+
+        void mine(long ms, Runnable task) {
+            int then = life;
+            at(ms, () -> {
+                if (up && life == then) {
+                    task.run();
+                }
+            });
+        }
+
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public Timer after(long ms, Runnable task) {
+            boolean[] off = new boolean[1];
+            mine(ms, () -> {
+                if (!off[0]) {
+                    task.run();
+                }
+            });
+            return () -> off[0] = true;
+        }
+
+        @Override
+        public double chance() {
+            return random.nextDouble();
+        }
+
+        @Override
+        public void call(String address, String kind, ObjectNode body, long timeoutMs, Consumer<JsonNode> answer) {
+            messages++;
+            boolean[] over = new boolean[1];
+            Consumer<JsonNode> once = a -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    answer.accept(a);
+                }
+            };
+            mine(timeoutMs, () -> once.accept(null));
+            String wire = body.toString();
+            int caller = life;
+            at(1 + random.nextInt(3), () -> {
+                Machine to = machines.get(address);
+                if (to == null || cuts.contains(peer + ">" + address)) {
+                    return;
+                }
+                if (!to.up || to.service == null) {
+                    at(1, () -> back(caller, once, null));
+                    return;
+                }
+                to.service.serve(kind, parse(wire), out -> {
+                    String text = out == null ? null : out.toString();
+                    if (!cuts.contains(address + ">" + peer)) {
+                        at(1 + random.nextInt(3), () -> back(caller, once, text));
+                    }
+                });
+            });
+        }
+
+        private void back(int caller, Consumer<JsonNode> once, String text) {
+            if (up && life == caller) {
+                once.accept(text == null ? null : parse(text));
+            }
+        }
+    }
+
+    private static JsonNode parse(String text) {
+        try {
+            return JSON.readTree(text);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A disk that syncs a little later, and may be full, slow or lost. */
+    public final class Disk implements Vault {
+        private final Machine machine;
+        private Saved held;
+        private final ArrayDeque<Object[]> jobs = new ArrayDeque<>();
+        private long waitingSince = -1;
+        public boolean full;
+
+        private Disk(Machine machine) {
+            this.machine = machine;
+        }
+
+        public void wipe() {
+            held = null;
+        }
+
+        private void crash(boolean power) {
+            while (!jobs.isEmpty()) {
+                Change c = (Change) jobs.poll()[0];
+                // Without a loss of power writes already handed over may still be there.
+                if (!power && random.nextBoolean() && !full) {
+                    write(c);
+                } else {
+                    jobs.clear();
+                }
+            }
+            waitingSince = -1;
+        }
+
+        @Override
+        public Saved load() {
+            return held;
+        }
+
+        @Override
+        public void found(String incarnation, List<Entry> first) {
+            held = new Saved(incarnation, 0, null, 0, null, new ArrayList<>(first));
+        }
+
+        @Override
+        public void save(Change change, Runnable durable) {
+            jobs.add(new Object[] {change, durable});
+            if (jobs.size() == 1) {
+                waitingSince = now;
+                machine.mine(1 + random.nextInt(4), this::sync);
+            }
+        }
+
+        private void sync() {
+            if (full) {
+                machine.mine(100, this::sync);
+                return;
+            }
+            Object[] j = jobs.poll();
+            write((Change) j[0]);
+            waitingSince = jobs.isEmpty() ? -1 : now;
+            if (!jobs.isEmpty()) {
+                machine.mine(1 + random.nextInt(4), this::sync);
+            }
+            ((Runnable) j[1]).run();
+        }
+
+        private void write(Change c) {
+            List<Entry> entries = new ArrayList<>(held.entries());
+            if (c.truncateFrom() > 0) {
+                entries.removeIf(e -> e.index() >= c.truncateFrom());
+            }
+            Snapshot snap = held.snapshot();
+            if (c.snapshot() != null) {
+                snap = c.snapshot();
+                entries.removeIf(e -> e.index() <= c.snapshot().index());
+            }
+            entries.addAll(c.append());
+            held = new Saved(held.incarnation(), c.term(), c.vote(), c.commit(), snap, entries);
+        }
+
+        @Override
+        public long waitingSince() {
+            return waitingSince;
+        }
+
+        @Override
+        public boolean failing() {
+            return full && !jobs.isEmpty();
+        }
+    }
+}
