--- a/src/main/java/bramblespool/state/Log.java
+++ b/src/main/java/bramblespool/state/Log.java
@@ -24,7 +24,7 @@
         COMMIT_DECIDED(604, Level.INFO), COMMIT_UNCONFIRMED(605, Level.WARN), COMMIT_DONE(606, Level.INFO),
         COMMIT_TAKEN_OVER(607, Level.INFO), VERSION_ADOPTED(608, Level.INFO), SHADOW_REVERTED(609, Level.INFO),
         EVACUATION(610, Level.INFO),
-        FAILED_CALL(701, Level.DEBUG), GATE_REFUSED(702, Level.DEBUG), BAD_REQUEST(703, Level.DEBUG);
+        FAILED_CALL(701, Level.DEBUG), BAD_REQUEST(703, Level.DEBUG);
 
         public final int number;
         public final Level level;
--- a/src/main/java/bramblespool/state/SqliteVault.java
+++ b/src/main/java/bramblespool/state/SqliteVault.java
@@ -22,6 +22,9 @@
     /** Pages in the write-ahead log before SQLite moves them: keeps the file well under a megabyte. */
     private static final int CHECKPOINT_PAGES = 128;
 
+    /** How long an ending process waits for a write under way; the disk keeps all that was acknowledged anyway. */
+    private static final long LAST_WRITE_MS = 200;
+
     private record Job(Change change, Runnable durable) {
     }
 
@@ -220,5 +223,15 @@
     public void close() {
         closed = true;
         LockSupport.unpark(thread);
+        try {
+            thread.join(LAST_WRITE_MS);
+            if (!thread.isAlive()) {
+                db.close();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (SQLException e) {
+            log.say(Log.Event.DISK_FAILED, "error", e.getMessage());
+        }
     }
 }
--- /dev/null
+++ b/src/test/java/bramblespool/GateTest.java
@@ -0,0 +1,171 @@
+package bramblespool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import bramblespool.coordination.Budget;
+import bramblespool.coordination.Gate;
+import bramblespool.protocol.Beat;
+import bramblespool.sim.SimWorld;
+import bramblespool.state.Log;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The gate in front of one server, on a simulated clock. */
+class GateTest {
+    private final SimWorld world = new SimWorld(1);
+    private final SimWorld.Machine machine = world.machine("10.0.1.1:7000");
+    private final List<Long> arrivals = new ArrayList<>();
+    private final List<Gate.Refusal> refused = new ArrayList<>();
+    private int running;
+    private int mostRunning;
+    private long seq;
+    private Gate gate;
+
+    @BeforeEach
+    void boot() {
+        machine.boot();
+        gate = new Gate(machine, new Gate.Rules(1500, 2500, 1.5, 5), "10.0.1.1:9000", "desk", () -> { }, Log.silent());
+        gate.warmPerS(8.5);
+    }
+
+    private String beat(String id, boolean draining, long cold) {
+        return gate.beat(new Beat(id, "desk", "10.0.1.1:9000", "a", 6, draining, cold, ++seq));
+    }
+
+    private void send(int rank, long work) {
+        Gate.Ticket[] t = new Gate.Ticket[1];
+        t[0] = gate.offer("r", rank, 600, world.now() + 1500, () -> {
+            arrivals.add(world.now());
+            running++;
+            mostRunning = Math.max(mostRunning, running);
+            machine.after(work, () -> {
+                running--;
+                t[0].done(true);
+            });
+        }, refused::add);
+    }
+
+    @Test
+    void neverMoreThanCapacityAtOnceAndWhatCannotBeInTimeIsRefusedAtOnce() {
+        beat("i1", false, 0);
+        for (int i = 0; i < 100; i++) {
+            send(1, 200);
+        }
+        int refusedAtOnce = refused.size();
+        assertTrue(refusedAtOnce > 50, "refused at once: " + refusedAtOnce);
+        refused.forEach(r -> assertTrue(r.retryMs() > 0, "says when to come back"));
+        world.run(3000);
+        assertEquals(6, mostRunning);
+        assertEquals(100, arrivals.size() + refused.size(), "every request is heard of once");
+    }
+
+    @Test
+    void aColdServerNeverGetsMoreThanItsBoundInAnySecond() {
+        beat("i1", false, 6000);
+        for (int i = 0; i < 800; i++) {
+            send(1, 5);
+            world.run(7);
+        }
+        double bound = 8.5 * 1.5 + 5;
+        for (int i = 0; i < arrivals.size(); i++) {
+            long from = arrivals.get(i);
+            long n = arrivals.stream().filter(a -> a >= from && a < from + 1000).count();
+            assertTrue(n <= bound, n + " in the second from " + from);
+        }
+        assertTrue(arrivals.size() > 30, "it still serves: " + arrivals.size());
+    }
+
+    @Test
+    void afterAnEvacuationTheServerCountsAsColdUntilItsNextBeat() {
+        beat("i1", false, 0);
+        gate.evacuated(true);
+        send(1, 5);
+        assertEquals("evacuated", refused.get(0).why());
+        gate.evacuated(false);
+        for (int i = 0; i < 100; i++) {
+            send(1, 5);
+            world.run(10);
+        }
+        assertTrue(arrivals.size() <= 17, "arrivals " + arrivals.size());
+        beat("i1", false, 0);
+        int before = arrivals.size();
+        for (int i = 0; i < 100; i++) {
+            send(1, 5);
+            world.run(10);
+        }
+        assertEquals(100, arrivals.size() - before, "warm again by its own word");
+    }
+
+    @Test
+    void aDrainingServerIsClosedWellWithinTheBound() {
+        beat("i1", false, 0);
+        beat("i1", true, 0);
+        assertFalse(gate.open());
+        world.run(1200);
+        send(1, 5);
+        assertEquals("draining", refused.get(0).why());
+    }
+
+    @Test
+    void aServerFirstHeardOfWhileDrainingGetsNothing() {
+        beat("i1", true, 0);
+        send(1, 5);
+        assertEquals("draining", refused.get(0).why());
+    }
+
+    @Test
+    void lateBeatsAndBeatsOfEndedLivesHaveNoEffect() {
+        beat("i1", false, 0);
+        beat("i2", false, 0);
+        beat("i1", false, 0);
+        assertEquals("i2", gate.id());
+        assertNull(gate.beat(new Beat("i2", "desk", "10.0.1.1:9000", "a", 6, true, 0, 1)));
+        assertTrue(gate.open(), "an old callSeq does not drain");
+        assertNotNull(gate.beat(new Beat("i3", "other", "10.0.1.1:9000", "a", 6, false, 0, 99)));
+        assertNotNull(gate.beat(new Beat("i3", "desk", "10.9.9.9:9000", "a", 6, false, 0, 99)));
+    }
+
+    @Test
+    void higherRankGoesFirstAndWithinARankFirstCome() {
+        beat("i1", false, 0);
+        ArrayDeque<String> order = new ArrayDeque<>();
+        List<Gate.Ticket> held = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            held.add(gate.offer("r", 1, 600, world.now() + 1500, () -> { }, refused::add));
+        }
+        gate.offer("r", 2, 600, world.now() + 1000, () -> order.add("second"), refused::add);
+        gate.offer("r", 2, 600, world.now() + 900, () -> order.add("third"), refused::add);
+        gate.offer("r", 0, 600, world.now() + 1500, () -> order.add("first"), refused::add);
+        held.forEach(t -> t.done(false));
+        assertEquals(List.of("first", "second", "third"), List.copyOf(order));
+    }
+
+    @Test
+    void theBudgetsOfAllWeftsTogetherKeepTheRule() {
+        double ratio = 0.2;
+        double slack = 64;
+        int wefts = 12;
+        long drawn = 0;
+        long requests = 0;
+        for (int w = 0; w < wefts; w++) {
+            Budget b = new Budget(ratio, slack);
+            b.sharers(wefts);
+            for (int i = 0; i < 200; i++) {
+                b.request("desk");
+                requests++;
+                while (b.draw("desk")) {
+                    drawn++;
+                }
+            }
+        }
+        assertTrue(drawn > 0);
+        assertTrue(drawn <= ratio * requests + slack, drawn + " further tries of " + requests);
+    }
+}
--- /dev/null
+++ b/src/test/java/bramblespool/ShadowTest.java
@@ -0,0 +1,99 @@
+package bramblespool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import bramblespool.coordination.Shadow;
+import bramblespool.sim.SimMesh;
+import bramblespool.sim.SimWorld;
+import bramblespool.state.Config;
+import bramblespool.state.Log;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** One weft's side of the shadow commit. */
+class ShadowTest {
+    private final SimWorld world = new SimWorld(1);
+    private Shadow shadow;
+
+    private static Config config(long epoch) {
+        try {
+            return Config.compile(SimMesh.document(epoch, 0, "p" + epoch));
+        } catch (Config.Invalid e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @BeforeEach
+    void current() {
+        SimWorld.Machine m = world.machine("10.0.1.1:7000");
+        m.boot();
+        shadow = new Shadow(m, 1000, Log.silent());
+        shadow.adopt(config(5), true);
+    }
+
+    private long named(String mark) {
+        Shadow.Choice c = shadow.resolve(mark);
+        return c == null ? -1 : c.config().epoch;
+    }
+
+    @Test
+    void theFourPhases() {
+        assertEquals("0", shadow.mark());
+        assertNull(shadow.distribute(5, 7, config(7)));
+        assertEquals("0", shadow.mark(), "tags are known, not used");
+        assertEquals(7, named("1"));
+        assertTrue(shadow.resolve("1").test(), "a marked test call");
+        assertTrue(shadow.tagPacket(7));
+        assertEquals("t5", shadow.mark());
+        assertEquals(5, named("0"), "an untagged call is of the old version");
+        assertTrue(shadow.swap(7));
+        assertEquals("t7", shadow.mark());
+        assertEquals(5, named("t5"), "the tags are not swapped");
+        assertEquals(5, named("0"), "a bit from one that has not had TAG PACKET still means C_old");
+        assertTrue(shadow.markBit(7));
+        assertEquals("0", shadow.mark());
+        assertEquals(7, named("0"));
+        assertEquals(5, named("1"));
+    }
+
+    @Test
+    void aTaggedCallActsAsTagPacket() {
+        shadow.distribute(5, 7, config(7));
+        assertEquals(5, named("t5"));
+        assertEquals("t5", shadow.mark());
+    }
+
+    @Test
+    void withoutTagPacketItRevertsAndAfterItDoesNot() {
+        shadow.distribute(5, 7, config(7));
+        world.run(1500);
+        assertTrue(!shadow.tagPacket(7), "the tags are forgotten");
+        assertEquals(5, shadow.epoch());
+        shadow.distribute(5, 8, config(8));
+        shadow.tagPacket(8);
+        world.run(1500);
+        assertTrue(shadow.swap(8), "past TAG PACKET it waits for what comes");
+    }
+
+    @Test
+    void anAbortCannotUndoWhatWasSwapped() {
+        shadow.distribute(5, 7, config(7));
+        shadow.tagPacket(7);
+        shadow.swap(7);
+        shadow.revert();
+        assertEquals(7, shadow.epoch());
+        shadow.adopt(config(6), true);
+        assertEquals(7, shadow.epoch(), "never back within a life");
+    }
+
+    @Test
+    void unknownMarksNameNothing() {
+        assertEquals(-1, named("t99"));
+        assertEquals(-1, named("tx"));
+        assertEquals(-1, named("2"));
+        assertEquals(-1, named(null));
+        assertEquals("behind", shadow.distribute(4, 7, config(7)));
+    }
+}
