--- a/src/main/java/bramblespool/Main.java
+++ b/src/main/java/bramblespool/Main.java
@@ -66,7 +66,12 @@
         }
     }
 
+    /** Held, for a logger that nobody holds may lose its level. */
+    private static final java.util.logging.Logger PARSING = java.util.logging.Logger.getLogger("io.undertow.request");
+
+    /** What a server or client sends amiss is told by our own events. */
     static void quietLibraries() {
+        PARSING.setLevel(java.util.logging.Level.OFF);
         java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.WARNING);
     }
 
--- /dev/null
+++ b/src/test/java/bramblespool/SocketTest.java
@@ -0,0 +1,282 @@
+package bramblespool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import bramblespool.role.Helm;
+import bramblespool.role.Weft;
+import bramblespool.sim.SimMesh;
+import bramblespool.state.Log;
+import bramblespool.state.Settings;
+import bramblespool.transport.Loop;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Framing and headers on real sockets: one helm, one weft and a server that misbehaves where the path says so. */
+class SocketTest {
+    @TempDir
+    static Path dir;
+    private static final int[] PORT = new int[7];
+    private static final List<String> SEEN = new CopyOnWriteArrayList<>();
+    private static final String WEFT = "127.0.0.3";
+    private static final String HELM = "127.0.0.4";
+
+    @BeforeAll
+    static void start() throws Exception {
+        ServerSocket[] held = new ServerSocket[PORT.length];
+        for (int i = 0; i < PORT.length; i++) {
+            held[i] = new ServerSocket(0, 1, InetAddress.getByName(WEFT));
+            PORT[i] = held[i].getLocalPort();
+        }
+        for (ServerSocket s : held) {
+            s.close();
+        }
+        ServerSocket app = new ServerSocket(PORT[0], 50, InetAddress.getByName(WEFT));
+        Thread t = new Thread(() -> accept(app), "stand-in");
+        t.setDaemon(true);
+        t.start();
+        Loop loop = new Loop(Log.silent());
+        CountDownLatch up = new CountDownLatch(1);
+        Settings helm = settings("core", HELM, "");
+        Settings weft = settings("sidecar", WEFT, "");
+        loop.post(() -> {
+            try {
+                new Helm(helm, loop, Log.silent());
+                new Weft(weft, loop, Log.silent());
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+            up.countDown();
+        });
+        up.await();
+        String config = SimMesh.document(3, 0, "a").replace("\"idempotent\"", "\"mutating\"");
+        until(() -> exchange(HELM, PORT[1], post("/bramblespool/config/replace", config)), "HTTP/1.1 200");
+        String beat = "{\"target\":\"desk\",\"address\":\"" + WEFT + ":" + PORT[0]
+                + "\",\"zone\":\"z\",\"capacity\":4,\"state\":\"ready\",\"warmupLeft\":\"0ms\",\"callSeq\":1}";
+        until(() -> exchange(WEFT, PORT[1], post("/bramblespool/servers/i-1/heartbeat", beat)), "HTTP/1.1 200");
+        until(() -> exchange(WEFT, PORT[4], "GET /bramblespool/readiness HTTP/1.1\r\nHost: h\r\n\r\n"), "HTTP/1.1 200");
+    }
+
+    private interface Try {
+        String go() throws IOException;
+    }
+
+    private static void until(Try what, String wanted) throws IOException {
+        long end = System.nanoTime() + 60_000_000_000L;
+        String got = "";
+        while (!got.startsWith(wanted) && System.nanoTime() < end) {
+            got = what.go();
+        }
+        assertTrue(got.startsWith(wanted), got);
+    }
+
+    private static Settings settings(String machineClass, String ip, String more) throws Settings.Unfit {
+        return Settings.parse("""
+                node = "%1$s-1"
+                machineClass = "%1$s"
+                ip = "%2$s"
+                zone = "z"
+                portRange = [%3$d, %3$d]
+                seedPeers = ["127.0.0.4:%4$d"]
+                bootstrap = true
+                dataDir = "%5$s"
+                appAddr = "%6$s:%7$d"
+                target = "desk"
+                [listeners]
+                control = "%2$s:%4$d"
+                inbound = "%2$s:%8$d"
+                outbound = "%2$s:%9$d"
+                ready = "%2$s:%10$d"
+                [limits]
+                memoryMb = 0
+                [bounds]
+                quiet = "3s"
+                ack = "5s"
+                drain = "2500ms"
+                grace = "6s"
+                apply = "2500ms"
+                retryRatio = 0.2
+                retryWindow = "10s"
+                retrySlack = 60
+                evac = "5s"
+                """.formatted(machineClass, ip, PORT[5], PORT[1], dir, WEFT, PORT[0], PORT[2], PORT[3], PORT[4]), "test");
+    }
+
+    private static String post(String path, String body) {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static void accept(ServerSocket app) {
+        while (true) {
+            try {
+                Socket s = app.accept();
+                Thread t = new Thread(() -> answer(s), "stand-in connection");
+                t.setDaemon(true);
+                t.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    /** Serves requests without bodies, or with bodies of a told length, in the manner that the path names. */
+    private static void answer(Socket s) {
+        try (s) {
+            while (true) {
+                String head = head(s.getInputStream());
+                if (head.isEmpty()) {
+                    return;
+                }
+                int length = head.contains("Content-Length: ")
+                        ? Integer.parseInt(head.split("Content-Length: ")[1].split("\r\n")[0].strip()) : 0;
+                String body = new String(s.getInputStream().readNBytes(length), StandardCharsets.ISO_8859_1);
+                SEEN.add(head + body);
+                String id = "X-Attempt-Id: " + head.split("X-Attempt-Id: ")[1].split("\r\n")[0] + "\r\nX-Server-Seal: s\r\n";
+                String good = "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ngood";
+                String reply = head.contains("/short") ? "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 900\r\n\r\nhalf"
+                        : head.contains("/garbage") ? "\u0001\u0002 nonsense\r\n\r\n"
+                        : head.contains("/extra") ? good + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
+                        : head.contains("/other") ? good.replace("Attempt-Id: ", "Attempt-Id: not-")
+                        : head.contains("/endless") ? "HTTP/1.1 200 OK\r\n" + id + "\r\ngood"
+                        : head.contains("/long") ? "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 300000\r\n\r\n" + "x".repeat(200000)
+                        : head.contains("/shed") ? "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" : good;
+                s.getOutputStream().write(reply.getBytes(StandardCharsets.ISO_8859_1));
+                s.getOutputStream().flush();
+                if (!reply.equals(good) && !head.contains("/extra") && !head.contains("/shed") && !head.contains("/other")) {
+                    return;
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            // The connection is over.
+        }
+    }
+
+    private static String head(InputStream in) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        int c;
+        while ((c = in.read()) >= 0) {
+            out.write(c);
+            if (out.size() >= 4 && out.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+                break;
+            }
+        }
+        return out.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    /** What comes back until the connection ends, or until it stays silent. */
+    private static String exchange(String ip, int port, String request) throws IOException {
+        try (Socket s = new Socket(ip, port)) {
+            s.setSoTimeout(400);
+            s.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            s.getOutputStream().flush();
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            byte[] buffer = new byte[4096];
+            try {
+                int n;
+                while ((n = s.getInputStream().read(buffer)) > 0) {
+                    out.write(buffer, 0, n);
+                    if (out.size() < 1000 && request.split(" HTTP/1.1\r\n").length == 2 && whole(out.toString(StandardCharsets.ISO_8859_1))) {
+                        break;
+                    }
+                }
+            } catch (SocketTimeoutException e) {
+                out.write("(open)".getBytes(StandardCharsets.ISO_8859_1));
+            }
+            return out.toString(StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private static boolean whole(String answer) {
+        int end = answer.indexOf("\r\n\r\n");
+        if (end < 0 || !answer.contains("Content-Length: ")) {
+            return false;
+        }
+        return answer.length() - end - 4 >= Integer.parseInt(answer.split("Content-Length: ")[1].split("\r\n")[0].strip());
+    }
+
+    private static String request(String path, String more) throws IOException {
+        return exchange(WEFT, PORT[3], "GET " + path + " HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: t" + path.hashCode()
+                + "\r\nX-Deadline-Ms: 1500\r\n" + more + "\r\n");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"/a/ok,200", "/a/extra,200", "/b/ok,404", "/a/short,502", "/a/garbage,502", "/a/other,502", "/a/endless,502",
+        "/a/shed,503"})
+    void everyKindOfAnswer(String path, int status) throws IOException {
+        String got = request(path, "");
+        assertTrue(got.startsWith("HTTP/1.1 " + status + " "), got);
+        assertFalse(got.contains("half") || got.contains("extra") || got.contains("nonsense"), got);
+        if (status == 200) {
+            assertTrue(got.endsWith("good") && got.contains("X-Server-Seal: s"), got);
+        }
+        if (status == 503) {
+            assertTrue(got.contains("Retry-After: "), got);
+        }
+        assertTrue(request("/a/after", "").endsWith("good"), "the next request is answered as its own");
+    }
+
+    @Test
+    void aLongAnswerThatBreaksOffNeverLooksWhole() throws IOException {
+        String got = request("/a/long", "");
+        int body = got.length() - got.indexOf("\r\n\r\n") - 4;
+        assertTrue(got.contains("Content-Length: 300000") && body < 300000 && !got.endsWith("(open)"),
+                got.length() + " bytes, then the connection must end");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"Content-Length: 3\\r\\nContent-Length: 4|400", "Transfer-Encoding: gzip|400",
+        "Content-Length: 4\\r\\nTransfer-Encoding: chunked|400", "X-Attempt-Id: again|400"})
+    void framingInDoubtIsRefusedAndTheConnectionClosed(String header, int status) throws IOException {
+        int before = SEEN.size();
+        String got = request("/a/doubt", header.replace("\\r\\n", "\r\n") + "\r\n");
+        assertTrue(got.startsWith("HTTP/1.1 " + status + " ") && got.contains("close"), got);
+        assertEquals(before, SEEN.size(), "nothing is passed on");
+    }
+
+    @Test
+    void whatTheSystemSetsItselfIsNeverBelieved() throws IOException {
+        String got = request("/a/forged%2F?q=%20", "X-Caller-Service: boss\r\nX-Target-Instance: i-9\r\nX-Spool-Mark: t9\r\nX-Kept: yes\r\n");
+        assertTrue(got.startsWith("HTTP/1.1 200"), got);
+        String seen = SEEN.stream().filter(s -> s.contains("/a/forged")).reduce((a, b) -> b).orElseThrow();
+        assertTrue(seen.startsWith("GET /a/forged%2F?q=%20 HTTP/1.1\r\n"), seen);
+        assertTrue(seen.contains("X-Caller-Service: desk\r\n") && seen.contains("X-Target-Instance: i-1\r\n")
+                && seen.contains("X-Kept: yes\r\n"), seen);
+        assertFalse(seen.contains("boss") || seen.contains("i-9") || seen.contains("X-Spool"), seen);
+    }
+
+    @Test
+    void bodiesArriveWholeByLengthAndInChunks() throws IOException {
+        String head = "POST /a/body HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: b1\r\nX-Deadline-Ms: 1500\r\n";
+        assertTrue(exchange(WEFT, PORT[3], head + "Content-Length: 5\r\n\r\nfirst").startsWith("HTTP/1.1 200"));
+        assertTrue(exchange(WEFT, PORT[3], head + "Transfer-Encoding: chunked\r\n\r\n3\r\nsec\r\n3\r\nond\r\n0\r\n\r\n")
+                .startsWith("HTTP/1.1 200"));
+        assertTrue(SEEN.stream().anyMatch(s -> s.endsWith("\r\n\r\nfirst")));
+        assertTrue(SEEN.stream().anyMatch(s -> s.endsWith("\r\n\r\nsecond")));
+    }
+
+    @Test
+    void pipelinedRequestsGetTheirOwnAnswersInOrder() throws IOException {
+        String one = "GET /a/p HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1500\r\n\r\n";
+        String got = exchange(WEFT, PORT[3], one.formatted("p1") + one.formatted("p2").replace("\r\n\r\n",
+                "\r\nConnection: close\r\n\r\n"));
+        int first = got.indexOf("X-Attempt-Id: p1");
+        int second = got.indexOf("X-Attempt-Id: p2");
+        assertTrue(first > 0 && second > first && got.indexOf("good") < second && got.endsWith("good"), got);
+    }
+}
