--- a/src/main/java/bramblespool/Bramblespool.java
+++ b/src/main/java/bramblespool/Bramblespool.java
@@ -16,7 +16,7 @@
 @Command(name = "bramblespool", mixinStandardHelpOptions = true, versionProvider = Bramblespool.Version.class,
         description = "A service mesh whose configurations are committed in the shadow of the running one.",
         subcommands = {Bramblespool.WeftCommand.class, Bramblespool.HelmCommand.class, Bramblespool.Check.class,
-            Bramblespool.Rehearse.class},
+            Bramblespool.Rehearse.class, Status.class},
         exitCodeListHeading = "Exit codes:%n",
         exitCodeList = {"0:done, or ended in order", "1:failed", "2:wrong usage, or a file that is not fit for use"})
 public final class Bramblespool implements Runnable {
--- /dev/null
+++ b/src/main/java/bramblespool/Status.java
@@ -0,0 +1,100 @@
+package bramblespool;
+
+import bramblespool.state.Fields;
+import bramblespool.state.Log;
+import bramblespool.transport.HttpWire;
+import bramblespool.transport.Loop;
+import bramblespool.transport.Ports;
+import bramblespool.transport.Upstream;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Asks daemons how they stand. */
+@Command(name = "status", mixinStandardHelpOptions = true, versionProvider = Bramblespool.Version.class,
+        description = "Asks daemons at their peer addresses (first port of portRange) how they stand.")
+final class Status implements Callable<Integer> {
+    @Parameters(arity = "1..*", paramLabel = "ADDRESS", description = "for example 10.1.0.42:7380")
+    private List<String> addresses;
+
+    @Option(names = "--json", description = "print the answers as they came")
+    private boolean json;
+
+    @Option(names = "--timeout", paramLabel = "MS", defaultValue = "2000",
+            description = "how long to wait for each answer (${DEFAULT-VALUE})")
+    private long timeoutMs;
+
+    @Override
+    public Integer call() throws IOException {
+        for (String a : addresses) {
+            if (!Fields.isAddress(a)) {
+                System.err.println("bramblespool: '" + a + "' is no address such as 10.1.0.42:7380");
+                return Main.UNFIT;
+            }
+        }
+        Main.quietLibraries();
+        Log log = new Log("status", System.err, Log.Level.ERROR);
+        Loop loop = new Loop(log);
+        Ports ports = new Ports(loop, log);
+        HttpWire wire = new HttpWire(loop, new Upstream(loop, ports.buffers()), ports.buffers(), timeoutMs, log);
+        int code = Main.OK;
+        for (String a : addresses) {
+            CompletableFuture<Optional<JsonNode>> answer = new CompletableFuture<>();
+            loop.post(() -> wire.call(a, "status", JsonNodeFactory.instance.objectNode(), timeoutMs,
+                    n -> answer.complete(Optional.ofNullable(n))));
+            Optional<JsonNode> n = answer.join();
+            if (n.isEmpty()) {
+                System.err.println(a + ": no answer");
+                code = Main.FAILED;
+            } else {
+                System.out.println(json ? n.get().toPrettyString() : text(a, n.get()));
+            }
+        }
+        System.exit(code);
+        return code;
+    }
+
+    private static String text(String address, JsonNode n) {
+        StringBuilder s = new StringBuilder(address).append(": ").append(n.path("role").asText()).append(' ')
+                .append(n.path("node").asText()).append(" in ").append(n.path("zone").asText());
+        line(s, "version in force", n.path("epoch"));
+        if (n.path("role").asText().equals("weft")) {
+            line(s, "marks calls with", n.path("tagging").asBoolean() ? "tags (a commit is under way)" : "the bit");
+            line(s, "session", n.path("session").asBoolean() ? "with " + n.path("helm").asText() : "none");
+            line(s, "server", n.path("server").isTextual() ? n.path("server").asText() + ", "
+                    + (n.path("open").asBoolean() ? "open" : "closed") + ", " + n.path("load").asInt() + " of "
+                    + n.path("capacity").asInt() + " slots taken or waited for" : "none known");
+            line(s, "ready", n.path("ready"));
+            return s.toString();
+        }
+        line(s, "member", n.path("self"));
+        line(s, "leader", n.path("leader").isTextual() ? n.path("leader") : "none known");
+        line(s, "term", n.path("term"));
+        line(s, "phase of the commit", n.path("phase"));
+        line(s, "voters", n.path("voters"));
+        if (n.path("leads").asBoolean()) {
+            line(s, "unconfirmed wefts", n.path("unconfirmed"));
+        }
+        n.path("evacuations").fields().forEachRemaining(e -> {
+            if (e.getValue().asBoolean()) {
+                line(s, "evacuated", e.getKey());
+            }
+        });
+        n.path("wefts").fields().forEachRemaining(w -> line(s, "weft " + w.getKey(), (w.getValue().path("member").asBoolean()
+                ? "member" : "no session") + ", server " + w.getValue().path("server").asText("none") + " of "
+                + w.getValue().path("target").asText() + (w.getValue().path("open").asBoolean() ? ", open" : ", closed")));
+        return s.toString();
+    }
+
+    private static void line(StringBuilder s, String what, Object value) {
+        s.append("\n  ").append(what).append(": ")
+                .append(value instanceof JsonNode v && v.isTextual() ? v.asText() : value);
+    }
+}
