--- a/src/main/java/bramblespool/coordination/Gate.java
+++ b/src/main/java/bramblespool/coordination/Gate.java
@@ -84,7 +84,7 @@
     /** Queue at most this many times the capacity: beyond it no deadline in use could be kept. */
     private static final int QUEUE_PER_SLOT = 4;
     /** Share of a cold server's hard bound that is used, so that a late arrival never crosses it. */
-    private static final double WARM_SHARE = 0.8;
+    private static final double WARM_SHARE = 0.92;
     /** A request whose work alone takes longer than its aim may still wait this part of its work. */
     private static final double LEAST_ROOM = 1.1;
     /** Mean deviations above the mean within which a request is counted on to be done. */
@@ -353,7 +353,7 @@
     }
 
     private int warmBound() {
-        return (int) Math.max(1, Math.min(warmPerS * 1.5, (warmPerS * rules.warmExcess + rules.warmSlack) * WARM_SHARE));
+        return (int) Math.max(1, (warmPerS * rules.warmExcess + rules.warmSlack) * WARM_SHARE);
     }
 
     private void forgetArrivals(long now) {
