--- a/src/main/java/bramblespool/Status.java
+++ b/src/main/java/bramblespool/Status.java
@@ -18,7 +18,7 @@
 import picocli.CommandLine.Parameters;
 
 /** Asks daemons how they stand. */
-@Command(name = "status", mixinStandardHelpOptions = true, versionProvider = Bramblespool.Version.class,
+@Command(name = "status", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
         description = "Asks daemons at their peer addresses (first port of portRange) how they stand.")
 final class Status implements Callable<Integer> {
     @Parameters(arity = "1..*", paramLabel = "ADDRESS", description = "for example 10.1.0.42:7380")
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -23,6 +23,8 @@
     private static final int CALLS = 10;
     /** Renewals without an answer before the weft turns to another helm. */
     private static final int MISSES = 2;
+    /** How much sooner than at the next renewal a weft without a session tries again. */
+    private static final int HURRY = 12;
     /** After so many renewals elsewhere the helm of the own zone is tried again. */
     private static final int HOMEWARD = 10;
 
@@ -44,6 +46,7 @@
     private int rotation;
     private boolean gone;
     private boolean fetching;
+    private boolean hurrying;
     private final Set<String> pinging = new LinkedHashSet<>();
     private long lastTick;
 
@@ -189,10 +192,18 @@
                 misses++;
                 if (!sessionOpen || misses >= MISSES) {
                     misses = MISSES;
-                    if (!sessionOpen) {
-                        return;
+                    if (sessionOpen) {
+                        renew();
+                    } else if (!hurrying) {
+                        // Without a session nothing is known for sure: the next helm is asked soon.
+                        hurrying = true;
+                        clock.after(settings.bounds().quiet() / RENEWALS / HURRY, () -> {
+                            hurrying = false;
+                            if (!sessionOpen) {
+                                renew();
+                            }
+                        });
                     }
-                    renew();
                 }
                 return;
             }
