Writes hold again after a full disk

SQLite rolls back by itself on a full disk; the driver went on as if its transaction stood, and every later commit failed with 'no transaction is active'. Excluded: the disk itself (free again at 26 s), the election rules (the third helm was rightly taken for unhealthy). Transactions are now begun and ended in words. The new test fails without the mend.

--- a/src/main/java/bramblespool/state/SqliteVault.java
+++ b/src/main/java/bramblespool/state/SqliteVault.java
@@ -54,7 +54,6 @@
             s.execute("CREATE TABLE IF NOT EXISTS log(idx INTEGER PRIMARY KEY, term INTEGER, data TEXT)");
             s.execute("CREATE TABLE IF NOT EXISTS snapshot(id INTEGER PRIMARY KEY CHECK(id=1), idx INTEGER, term INTEGER, voters TEXT, data TEXT)");
         }
-        db.setAutoCommit(false);
         thread = new Thread(null, this::work, "disk", 256 << 10);
         thread.setDaemon(true);
         thread.start();
@@ -89,7 +88,6 @@
                     entries.add(new Entry(r.getLong(1), r.getLong(2), r.getString(3)));
                 }
             }
-            db.commit();
             return new Saved(incarnation, term, vote, agreed, snapshot, entries);
         } catch (SQLException e) {
             throw new IllegalStateException(e);
@@ -98,8 +96,10 @@
 
     @Override
     public void found(String incarnation, List<Entry> first) {
-        try (PreparedStatement p = db.prepareStatement("INSERT INTO self VALUES(1,?,0,NULL,0)");
+        try (Statement s = db.createStatement();
+                PreparedStatement p = db.prepareStatement("INSERT INTO self VALUES(1,?,0,NULL,0)");
                 PreparedStatement add = db.prepareStatement("INSERT INTO log VALUES(?,?,?)")) {
+            s.execute("BEGIN");
             p.setString(1, incarnation);
             p.executeUpdate();
             for (Entry e : first) {
@@ -108,7 +108,7 @@
                 add.setString(3, e.data());
                 add.executeUpdate();
             }
-            db.commit();
+            s.execute("COMMIT");
         } catch (SQLException e) {
             throw new IllegalStateException(e);
         }
@@ -176,7 +176,29 @@
         failing = true;
     }
 
+    /**
+     * One transaction for the batch. It is begun and ended in words: after some errors, a full disk among them, SQLite
+     * has rolled back by itself, and the driver's own book-keeping would take the next writes for a transaction that
+     * is no longer there.
+     */
     private void write(List<Job> batch) throws SQLException {
+        try (Statement s = db.createStatement()) {
+            s.execute("BEGIN");
+            try {
+                fill(batch);
+                s.execute("COMMIT");
+            } catch (SQLException e) {
+                try {
+                    s.execute("ROLLBACK");
+                } catch (SQLException none) {
+                    e.addSuppressed(none);
+                }
+                throw e;
+            }
+        }
+    }
+
+    private void fill(List<Job> batch) throws SQLException {
         try (PreparedStatement self = db.prepareStatement("UPDATE self SET term=?, vote=?, agreed=?");
                 PreparedStatement cut = db.prepareStatement("DELETE FROM log WHERE idx>=?");
                 PreparedStatement drop = db.prepareStatement("DELETE FROM log WHERE idx<=?");
@@ -208,14 +230,6 @@
                     add.executeUpdate();
                 }
             }
-            db.commit();
-        } catch (SQLException e) {
-            try {
-                db.rollback();
-            } catch (SQLException ignored) {
-                // The first error is the one that tells.
-            }
-            throw e;
         }
     }
 
--- a/src/test/java/bramblespool/FormsTest.java
+++ b/src/test/java/bramblespool/FormsTest.java
@@ -162,6 +162,37 @@
         again.close();
     }
 
+    @Test
+    void afterAFullDiskWritesHoldAgain(@TempDir Path dir) throws Exception {
+        CountDownLatch failed = new CountDownLatch(1);
+        CountDownLatch done = new CountDownLatch(2);
+        SqliteVault v = new SqliteVault(dir.toString(), task -> {
+            task.run();
+            failed.countDown();
+        }, System::nanoTime, Log.silent());
+        v.found("abc", List.of());
+        var field = SqliteVault.class.getDeclaredField("db");
+        field.setAccessible(true);
+        java.sql.Connection db = (java.sql.Connection) field.get(v);
+        try (var s = db.createStatement()) {
+            s.execute("PRAGMA max_page_count=5");
+        }
+        v.save(new Vault.Change(1, "x", 0, 0, List.of(new Vault.Entry(1, 1, "long ".repeat(10_000))), null), done::countDown);
+        v.save(new Vault.Change(2, "y", 1, 0, List.of(new Vault.Entry(2, 2, "short")), null), done::countDown);
+        assertTrue(failed.await(20, TimeUnit.SECONDS));
+        assertEquals(2, done.getCount(), "nothing counts as durable while the disk is full");
+        assertTrue(v.failing());
+        try (var s = db.createStatement()) {
+            s.execute("PRAGMA max_page_count=100000");
+        }
+        assertTrue(done.await(20, TimeUnit.SECONDS), "writes hold again by themselves");
+        v.close();
+        SqliteVault again = new SqliteVault(dir.toString(), Runnable::run, System::nanoTime, Log.silent());
+        assertEquals(2, again.load().term());
+        assertEquals(2, again.load().entries().size());
+        again.close();
+    }
+
     @Test
     void theCatalogueHoldsExactlyTheEventsOfTheCode() throws Exception {
         List<String> code = new ArrayList<>();
