Repeat at a silent peer, old marks lead to news, less said twice

One at a peer that does not answer a ping now goes to another server too, within the budget; one that may not be repeated keeps waiting. A weft that still tags with an older version after a commit is told the news by whom it calls. Two copies of the list of helms, and of test settings, became one.

--- a/src/main/java/bramblespool/coordination/Budget.java
+++ b/src/main/java/bramblespool/coordination/Budget.java
@@ -41,13 +41,17 @@
         saved.put(service, Math.min(Math.max(1, cap()), held(service) + ratio * RATIO_SHARE));
     }
 
+    /** Whether there is a further try to take. */
+    public boolean holds(String service) {
+        return held(service) >= 1;
+    }
+
     /** Takes one further try if there is one. */
     public boolean draw(String service) {
-        double s = held(service);
-        if (s < 1) {
+        if (!holds(service)) {
             return false;
         }
-        saved.put(service, s - 1);
+        saved.put(service, held(service) - 1);
         return true;
     }
 }
--- a/src/main/java/bramblespool/coordination/Fleet.java
+++ b/src/main/java/bramblespool/coordination/Fleet.java
@@ -1,10 +1,12 @@
 package bramblespool.coordination;
 
+import bramblespool.state.Settings;
 import bramblespool.transport.Clock;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,6 +31,8 @@
         int reported;
         long reportedAt;
         public long heard;
+        /** When it was last told the news because its marks were old. */
+        long told;
 
         Member(String node) {
             this.node = node;
@@ -68,6 +72,18 @@
     public static final String EVAC = "evac/";
     public static final String ORDER = "order";
 
+    /** The peer addresses of the helms that the news knows, and of the seeds. */
+    static Set<String> helms(News news, Settings settings) {
+        Set<String> out = new LinkedHashSet<>();
+        for (News.Item i : news.all()) {
+            if (i.key().startsWith(HELM) && !i.body().path("gone").asBoolean()) {
+                out.add(i.body().path("peer").asText());
+            }
+        }
+        settings.seeds().forEach(s -> out.add(settings.peerOf(s)));
+        return out;
+    }
+
     public void hear(News.Item i) {
         if (i.key().startsWith(WEFT)) {
             weft(i.key().substring(WEFT.length()), i.body());
@@ -117,6 +133,10 @@
         m.coldUntil = cold > 0 ? clock.now() + cold : 0;
     }
 
+    Member known(String node) {
+        return members.get(node);
+    }
+
     public int wefts() {
         int n = 0;
         for (Member m : members.values()) {
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -115,13 +115,7 @@
     }
 
     private Set<String> helms() {
-        Set<String> out = new LinkedHashSet<>();
-        for (News.Item i : news.all()) {
-            if (i.key().startsWith(Fleet.HELM) && !i.body().path("gone").asBoolean()) {
-                out.add(i.body().path("peer").asText());
-            }
-        }
-        settings.seeds().forEach(s -> out.add(settings.peerOf(s)));
+        Set<String> out = Fleet.helms(news, settings);
         out.remove(settings.peer());
         return out;
     }
--- a/src/main/java/bramblespool/coordination/Shadow.java
+++ b/src/main/java/bramblespool/coordination/Shadow.java
@@ -61,6 +61,18 @@
         return tagging ? "t" + epoch() : REAL;
     }
 
+    /** The version that a tag names, or -1 where the mark is no tag. */
+    static long tagged(String mark) {
+        if (mark == null || !mark.startsWith("t")) {
+            return -1;
+        }
+        try {
+            return Long.parseLong(mark.substring(1));
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
     /** The version a received mark names, or null where this weft cannot tell. */
     public Choice resolve(String mark) {
         if (mark == null) {
@@ -74,15 +86,7 @@
         if (mark.equals(TEST)) {
             return shadow() == null ? null : new Choice(shadow(), true);
         }
-        if (!mark.startsWith("t")) {
-            return null;
-        }
-        long epoch;
-        try {
-            epoch = Long.parseLong(mark.substring(1));
-        } catch (NumberFormatException e) {
-            return null;
-        }
+        long epoch = tagged(mark);
         Config c = versioned(epoch);
         if (c != null && !tagging && (epoch == tagOld || epoch == tagNew)) {
             tagPacket(tagNew);
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -130,16 +130,7 @@
     }
 
     private Set<String> helms() {
-        Set<String> out = new LinkedHashSet<>();
-        for (News.Item i : news.all()) {
-            if (i.key().startsWith(Fleet.HELM) && !i.body().path("gone").asBoolean()) {
-                out.add(i.body().path("peer").asText());
-            }
-        }
-        for (String s : settings.seeds()) {
-            out.add(settings.peerOf(s));
-        }
-        return out;
+        return Fleet.helms(news, settings);
     }
 
     // ---- the session
@@ -319,6 +310,19 @@
         });
     }
 
+    /** What a call's mark tells about the weft it came from: one that still tags with an older version is told the news. */
+    public void marked(String from, String mark) {
+        long tag = Shadow.tagged(mark);
+        if (from == null || tag < 0 || tag >= shadow.epoch() || shadow.tagging()) {
+            return;
+        }
+        Fleet.Member m = fleet.known(from);
+        if (m != null && m.peer != null && clock.now() - m.told > callMs) {
+            m.told = clock.now();
+            news.compare(m.peer);
+        }
+    }
+
     /** A peer refused a call for its mark or route: one of the two may be behind. */
     public void behind() {
         if (helm != null && !fetching) {
--- a/src/main/java/bramblespool/protocol/Names.java
+++ b/src/main/java/bramblespool/protocol/Names.java
@@ -33,13 +33,13 @@
     private Names() {
     }
 
-    /** Copies what travels on; headers the system sets itself are taken only from a peer. */
-    public static void copy(HeaderMap from, HeaderMap to, boolean trusted) {
+    /** Copies what travels on. Headers that the system sets itself never do: each daemon sets its own. */
+    public static void copy(HeaderMap from, HeaderMap to) {
         HeaderValues connection = from.get(Headers.CONNECTION);
         for (long at = from.fastIterateNonEmpty(); at != -1; at = from.fiNextNonEmpty(at)) {
             HeaderValues v = from.fiCurrent(at);
             HttpString name = v.getHeaderName();
-            if (ONE_HOP.contains(name) || !trusted && OURS.contains(name) || named(connection, name)) {
+            if (ONE_HOP.contains(name) || OURS.contains(name) || named(connection, name)) {
                 continue;
             }
             to.putAll(name, v);
--- a/src/main/java/bramblespool/role/Courier.java
+++ b/src/main/java/bramblespool/role/Courier.java
@@ -115,7 +115,7 @@
                 return;
             }
             HeaderMap headers = new HeaderMap();
-            Names.copy(parcel.headers, headers, false);
+            Names.copy(parcel.headers, headers);
             headers.put(Names.DEADLINE, left);
             headers.put(Names.INSTANCE, server);
             headers.put(Names.CALLER, parcel.caller);
--- a/src/main/java/bramblespool/role/Exchanges.java
+++ b/src/main/java/bramblespool/role/Exchanges.java
@@ -44,8 +44,7 @@
     }
 
     /** Passes an answer on as it is; one that breaks off closes the connection, so that it never looks whole. */
-    static void relay(HttpServerExchange x, Upstream.Answer a, boolean trusted, ByteBufferPool buffers,
-            Courier.Ending ending) {
+    static void relay(HttpServerExchange x, Upstream.Answer a, ByteBufferPool buffers, Courier.Ending ending) {
         if (x.isResponseStarted()) {
             if (ending != null) {
                 ending.ended(false);
@@ -53,7 +52,7 @@
             return;
         }
         x.setStatusCode(a.code());
-        Names.copy(a.headers(), x.getResponseHeaders(), trusted);
+        Names.copy(a.headers(), x.getResponseHeaders());
         if (a.body().whole()) {
             if (a.body().head().length == 0 && (a.code() == 204 || a.code() == 304)) {
                 x.endExchange();
--- a/src/main/java/bramblespool/role/Inbound.java
+++ b/src/main/java/bramblespool/role/Inbound.java
@@ -12,7 +12,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
 /** Calls from other wefts: the mark chooses the version, the gate decides, the courier carries. */
 final class Inbound implements HttpHandler {
@@ -22,10 +22,10 @@
     private final Courier courier;
     private final ByteBufferPool buffers;
     private final String target;
-    private final Consumer<String> marked;
+    private final BiConsumer<String, String> marked;
 
     Inbound(Clock clock, Shadow shadow, Gate gate, Courier courier, ByteBufferPool buffers, String target,
-            Consumer<String> marked) {
+            BiConsumer<String, String> marked) {
         this.clock = clock;
         this.shadow = shadow;
         this.gate = gate;
@@ -64,7 +64,7 @@
         }
         long deadline = clock.now() + left;
         String mark = x.getRequestHeaders().getFirst(Names.MARK);
-        marked.accept(mark);
+        marked.accept(x.getRequestHeaders().getFirst(Names.FROM), mark);
         Way way = Way.of(shadow, mark, x.getRequestHeaders().getFirst(Headers.HOST), Exchanges.path(x), target);
         if (way.route == null) {
             refuse(x, way.why, 0, false);
@@ -85,7 +85,7 @@
     private void answer(HttpServerExchange x, Courier.Result r, Courier.Ending ending) {
         if (r.verdict() == Verdict.ANSWERED) {
             x.getResponseHeaders().put(Names.VERDICT, r.verdict().code).put(Names.LOAD, gate.load());
-            Exchanges.relay(x, r.answer(), false, buffers, ending);
+            Exchanges.relay(x, r.answer(), buffers, ending);
         } else if (r.verdict() == Verdict.NEVER_RAN) {
             refuse(x, r.why(), r.retryMs(), r.arrived());
         } else {
--- a/src/main/java/bramblespool/role/Outbound.java
+++ b/src/main/java/bramblespool/role/Outbound.java
@@ -216,7 +216,7 @@
             if (r.verdict() == Verdict.ANSWERED) {
                 over = true;
                 end.cancel();
-                Exchanges.relay(x, r.answer(), false, buffers, ending);
+                Exchanges.relay(x, r.answer(), buffers, ending);
                 return;
             }
             if (r.retryMs() > 0) {
@@ -268,7 +268,7 @@
                     return;
                 }
                 HeaderMap headers = new HeaderMap();
-                Names.copy(parcel.headers(), headers, false);
+                Names.copy(parcel.headers(), headers);
                 headers.put(Names.DEADLINE, Math.max(1, deadline - clock.now()));
                 headers.put(Names.CALLER, target);
                 headers.put(Names.MARK, mark);
@@ -280,6 +280,11 @@
             /** A call that waits long asks whether its peer is still there. */
             private void watch() {
                 watch = clock.after(manner.connectMs(), () -> {
+                    if (fleet.suspected(member) && mayRepeat()) {
+                        call.drop();
+                        finish(Courier.Result.mayHaveRun("the peer is silent"), null);
+                        return;
+                    }
                     if (clock.now() - member.heard > manner.connectMs()) {
                         doubts.silent(member);
                     }
@@ -287,6 +292,12 @@
                 });
             }
 
+            /** Whether a request that may be running at a silent peer is better sent to another as well. */
+            private boolean mayRepeat() {
+                return route.idempotent() && parcel.body().whole() && arrivals + 1 < route.maxTries()
+                        && shown.size() < GATES && budget.holds(service) && deadline - clock.now() > LEAST_MS;
+            }
+
             private void finish(Courier.Result r, Courier.Ending ending) {
                 settle();
                 ended(this, r, ending);
--- a/src/main/java/bramblespool/role/Weft.java
+++ b/src/main/java/bramblespool/role/Weft.java
@@ -70,7 +70,7 @@
                         core.behind();
                     }
                 }, log);
-        Inbound inbound = new Inbound(loop, core.shadow, core.gate, courier, ports.buffers(), s.target(), m -> { });
+        Inbound inbound = new Inbound(loop, core.shadow, core.gate, courier, ports.buffers(), s.target(), core::marked);
         var peers = Ports.bounds(CLIENT_HEADER, HttpWire.LARGEST, PEER_IDLE_MS, PEER_IDLE_MS);
         ports.listen(s.peer(), wire, peers);
         ports.listen(s.inbound(), inbound, Ports.bounds(CLIENT_HEADER, -1, PEER_IDLE_MS, PEER_IDLE_MS));
--- a/src/test/java/bramblespool/FormsTest.java
+++ b/src/test/java/bramblespool/FormsTest.java
@@ -132,15 +132,7 @@
                 ready = "10.0.1.1:8003"
                 [limits]
                 memoryMb = 0
-                [bounds]
-                quiet = "3s"
-                ack = "5s"
-                drain = "2500ms"
-                grace = "6s"
-                apply = "2500ms"
-                retryWindow = "10s"
-                evac = "5s"
-                """;
+                """ + SimMesh.BOUNDS;
     }
 
     @Test
--- a/src/test/java/bramblespool/SocketTest.java
+++ b/src/test/java/bramblespool/SocketTest.java
@@ -53,8 +53,8 @@
         t.start();
         Loop loop = new Loop(Log.silent());
         CountDownLatch up = new CountDownLatch(1);
-        Settings helm = settings("core", HELM, "");
-        Settings weft = settings("sidecar", WEFT, "");
+        Settings helm = settings("core", HELM);
+        Settings weft = settings("sidecar", WEFT);
         loop.post(() -> {
             try {
                 new Helm(helm, loop, Log.silent());
@@ -86,7 +86,7 @@
         assertTrue(got.startsWith(wanted), got);
     }
 
-    private static Settings settings(String machineClass, String ip, String more) throws Settings.Unfit {
+    private static Settings settings(String machineClass, String ip) throws Settings.Unfit {
         return Settings.parse("""
                 node = "%1$s-1"
                 machineClass = "%1$s"
@@ -105,17 +105,8 @@
                 ready = "%2$s:%10$d"
                 [limits]
                 memoryMb = 0
-                [bounds]
-                quiet = "3s"
-                ack = "5s"
-                drain = "2500ms"
-                grace = "6s"
-                apply = "2500ms"
-                retryRatio = 0.2
-                retryWindow = "10s"
-                retrySlack = 60
-                evac = "5s"
-                """.formatted(machineClass, ip, PORT[5], PORT[1], dir, WEFT, PORT[0], PORT[2], PORT[3], PORT[4]), "test");
+                %11$s                """.formatted(machineClass, ip, PORT[5], PORT[1], dir, WEFT, PORT[0], PORT[2], PORT[3], PORT[4],
+                SimMesh.BOUNDS), "test");
     }
 
     private static String post(String path, String body) {
--- a/src/test/java/bramblespool/sim/SimMesh.java
+++ b/src/test/java/bramblespool/sim/SimMesh.java
@@ -22,6 +22,18 @@
     private final List<String> seeds = new ArrayList<>();
     private int incarnations;
     private int beats;
+    public static final String BOUNDS = """
+            [bounds]
+            quiet = "3s"
+            ack = "5s"
+            drain = "2500ms"
+            grace = "6s"
+            apply = "2500ms"
+            retryRatio = 0.2
+            retryWindow = "10s"
+            retrySlack = 60
+            evac = "5s"
+            """;
     public static final String[] ZONES = {"a", "b", "c"};
 
     public SimMesh(long seed, int helmCount, int weftCount) {
@@ -67,19 +79,9 @@
                 ready = "%s:8003"
                 [limits]
                 memoryMb = 0
-                [bounds]
-                quiet = "3s"
-                ack = "5s"
-                drain = "2500ms"
-                grace = "6s"
-                apply = "2500ms"
-                retryRatio = 0.2
-                retryWindow = "10s"
-                retrySlack = 60
-                evac = "5s"
-                """.formatted(helm ? "helm" : "weft", last, helm ? "core" : "sidecar", ip, ZONES[(last - 1) % 3],
+                %s                """.formatted(helm ? "helm" : "weft", last, helm ? "core" : "sidecar", ip, ZONES[(last - 1) % 3],
                 seeds.stream().map(s -> '"' + s + '"').reduce((a, b) -> a + "," + b).orElse(""), bootstrap, ip, ip, ip,
-                ip, ip);
+                ip, ip, BOUNDS);
         try {
             return Settings.parse(text, "simulated");
         } catch (Settings.Unfit e) {
