--- a/src/main/java/bramblespool/coordination/Gate.java
+++ b/src/main/java/bramblespool/coordination/Gate.java
@@ -28,18 +28,17 @@
     /** One request at the gate. */
     public final class Ticket {
         private final String route;
-        private final int rank;
-        private final long deadline;
+        /** When its turn comes: a step of rank is worth a part of its aim, so that no rank starves another for good. */
+        private final long turn;
         private final Runnable go;
         private final Consumer<Refusal> refused;
         private long started;
         private String server;
         private Clock.Timer late;
 
-        private Ticket(String route, int rank, long deadline, Runnable go, Consumer<Refusal> refused) {
+        private Ticket(String route, long turn, Runnable go, Consumer<Refusal> refused) {
             this.route = route;
-            this.rank = rank;
-            this.deadline = deadline;
+            this.turn = turn;
             this.go = go;
             this.refused = refused;
         }
@@ -85,6 +84,8 @@
     private static final int QUEUE_PER_SLOT = 4;
     /** Share of a cold server's hard bound that is used, so that a late arrival never crosses it. */
     private static final double WARM_SHARE = 0.92;
+    /** A step of rank is worth this part of a request's aim in waiting. */
+    private static final int RANK_PART = 4;
     /** A request whose work alone takes longer than its aim may still wait this part of its work. */
     private static final double LEAST_ROOM = 1.1;
     /** Mean deviations above the mean within which a request is counted on to be done. */
@@ -303,8 +304,9 @@
 
     /** Lets a request through, queues it, or refuses it at once. */
     public Ticket offer(String route, int rank, long goal, long deadline, Runnable go, Consumer<Refusal> refused) {
-        Ticket t = new Ticket(route, rank, deadline, go, refused);
         long now = clock.now();
+        long aim = goal > 0 ? goal : deadline - now;
+        Ticket t = new Ticket(route, now + rank * aim / RANK_PART, go, refused);
         Refusal no = shut(now);
         if (no != null) {
             refused.accept(no);
@@ -339,7 +341,7 @@
     }
 
     private static boolean before(Ticket a, Ticket b) {
-        return a.rank <= b.rank;
+        return a.turn <= b.turn;
     }
 
     private Refusal shut(long now) {
--- a/src/main/java/bramblespool/role/Outbound.java
+++ b/src/main/java/bramblespool/role/Outbound.java
@@ -225,7 +225,7 @@
             if ("mark".equals(r.why()) || "route".equals(r.why())) {
                 doubts.behind();
             }
-            log.say(Event.FAILED_CALL, "to", send.member.node, "verdict", r.verdict(), "why", r.why());
+            log.say(Event.FAILED_CALL, "route", route.name(), "to", send.member.node, "verdict", r.verdict(), "why", r.why());
             boolean again = parcel.body().whole() && (r.verdict() == Verdict.NEVER_RAN || route.idempotent())
                     && deadline - clock.now() > LEAST_MS
                     && (!r.arrived() || arrivals < route.maxTries() && budget.draw(service));
