--- a/src/main/java/bramblespool/coordination/Fleet.java
+++ b/src/main/java/bramblespool/coordination/Fleet.java
@@ -57,7 +57,6 @@
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, List<Member>> byTarget = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
-    private final Map<String, Long> evacuationIndex = new HashMap<>();
 
     public Fleet(Clock clock, String self, String zone, long suspectMs) {
         this.clock = clock;
--- a/src/main/java/bramblespool/coordination/Gate.java
+++ b/src/main/java/bramblespool/coordination/Gate.java
@@ -64,14 +64,6 @@
             drainQueue();
         }
 
-        /** The caller went away before the request was let through. */
-        public void abandon() {
-            if (server == null) {
-                queue.remove(this);
-                cancel();
-            }
-        }
-
         private void cancel() {
             if (late != null) {
                 late.cancel();
--- a/src/main/java/bramblespool/coordination/Quorum.java
+++ b/src/main/java/bramblespool/coordination/Quorum.java
@@ -204,8 +204,6 @@
             lead(now);
         } else if (now >= electionAt && now - leaderHeard >= times.election && voters().contains(self) && healthy()) {
             campaign(true);
-        } else if (!voters().contains(self) && now >= electionAt) {
-            electionAt = now + times.heartbeat * 2;
         }
     }
 
--- a/src/main/java/bramblespool/transport/Upstream.java
+++ b/src/main/java/bramblespool/transport/Upstream.java
@@ -62,7 +62,6 @@
     private final HttpClientProvider client = new HttpClientProvider();
     private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
     private final OptionMap options = OptionMap.create(Options.TCP_NODELAY, true, Options.KEEP_ALIVE, true);
-    private long opened;
 
     public Upstream(Loop loop, ByteBufferPool buffers) {
         this.loop = loop;
@@ -70,10 +69,6 @@
         loop.every(1000, this::sweep);
     }
 
-    public long opened() {
-        return opened;
-    }
-
     /** A call under way; it can be broken off. */
     public final class Call {
         private final String address;
@@ -116,7 +111,6 @@
             if (over) {
                 return;
             }
-            opened++;
             patience = loop.after(manner.connectMs, () -> fail(Reach.UNSENT, "connect timed out"));
             client.connect(new ClientCallback<>() {
                 @Override
