--- a/src/main/java/bramblespool/Bramblespool.java
+++ b/src/main/java/bramblespool/Bramblespool.java
@@ -9,7 +9,7 @@
     }
 
     public static void main(String[] args) {
-        if (args.length == 1 && (args[0].equals("weft") || args[0].equals("helm"))) {
+        if (args.length == 1 && Main.CLASSES.containsKey(args[0])) {
             plain(args[0]);
             return;
         }
--- a/src/main/java/bramblespool/Commands.java
+++ b/src/main/java/bramblespool/Commands.java
@@ -15,7 +15,7 @@
 /** The command line's subcommands and options. */
 @Command(name = "bramblespool", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
         description = "A service mesh whose configurations are committed in the shadow of the running one.",
-        subcommands = {Commands.WeftCommand.class, Commands.HelmCommand.class, Commands.Check.class,
+        subcommands = {Commands.WeftCommand.class, Commands.HemCommand.class, Commands.HelmCommand.class, Commands.Check.class,
             Commands.Rehearse.class, Status.class},
         exitCodeListHeading = "Exit codes:%n",
         exitCodeList = {"0:done, or ended in order", "1:failed", "2:wrong usage, or a file that is not fit for use"})
@@ -77,6 +77,15 @@
         }
     }
 
+    @Command(name = "hem", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Runs the gateway's daemon, on a machine of class edge.")
+    static final class HemCommand extends RoleCommand {
+        @Override
+        String role() {
+            return "hem";
+        }
+    }
+
     @Command(name = "helm", mixinStandardHelpOptions = true, versionProvider = Version.class,
             description = "Runs the control plane's daemon, on a machine of class core.")
     static final class HelmCommand extends RoleCommand {
--- a/src/main/java/bramblespool/Main.java
+++ b/src/main/java/bramblespool/Main.java
@@ -2,6 +2,7 @@
 
 import bramblespool.role.Daemon;
 import bramblespool.role.Helm;
+import bramblespool.role.Hem;
 import bramblespool.role.Weft;
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
@@ -12,6 +13,7 @@
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
 import java.sql.SQLException;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import sun.misc.Signal;
@@ -19,6 +21,8 @@
 /** Starting, settings that change, and ending of a role. */
 final class Main {
     static final String SETTINGS_VARIABLE = "BRAMBLESPOOL_BOOT";
+    /** The roles, each with the class of machines it runs on. */
+    static final Map<String, String> CLASSES = Map.of("weft", "sidecar", "hem", "edge", "helm", "core");
     static final int OK = 0;
     static final int FAILED = 1;
     static final int UNFIT = 2;
@@ -45,7 +49,7 @@
         Settings settings;
         try {
             settings = Settings.read(file);
-            String wanted = role.equals("weft") ? "sidecar" : "core";
+            String wanted = CLASSES.get(role);
             if (!settings.machineClass().equals(wanted)) {
                 throw new Settings.Unfit(file.toString(), java.util.List.of("machineClass: a " + role + " runs on '" + wanted
                         + "' machines, not on '" + settings.machineClass() + "'"));
@@ -80,7 +84,7 @@
         Throwable[] failed = new Throwable[1];
         loop.post(() -> {
             try {
-                daemon = role.equals("weft") ? new Weft(settings, loop, log) : new Helm(settings, loop, log);
+                daemon = daemon(role);
             } catch (IOException | SQLException | RuntimeException | LinkageError e) {
                 failed[0] = e;
             }
@@ -107,6 +111,14 @@
         }));
     }
 
+    private Daemon daemon(String role) throws IOException, SQLException {
+        return switch (role) {
+            case "weft" -> new Weft(settings, loop, log);
+            case "hem" -> new Hem(settings, loop, log);
+            default -> new Helm(settings, loop, log);
+        };
+    }
+
     private FileTime modified() {
         try {
             return Files.getLastModifiedTime(file);
--- a/src/main/java/bramblespool/Status.java
+++ b/src/main/java/bramblespool/Status.java
@@ -65,12 +65,12 @@
         StringBuilder s = new StringBuilder(address).append(": ").append(n.path("role").asText()).append(' ')
                 .append(n.path("node").asText()).append(" in ").append(n.path("zone").asText());
         line(s, "version in force", n.path("epoch"));
-        if (n.path("role").asText().equals("weft")) {
+        if (!n.path("role").asText().equals("helm")) {
             line(s, "marks calls with", n.path("tagging").asBoolean() ? "tags (a commit is under way)" : "the bit");
             line(s, "session", n.path("session").asBoolean() ? "with " + n.path("helm").asText() : "none");
-            line(s, "server", n.path("server").isTextual() ? n.path("server").asText() + ", "
+            line(s, "servers", n.path("servers").isEmpty() ? "none known" : n.path("servers") + ", "
                     + (n.path("open").asBoolean() ? "open" : "closed") + ", " + n.path("load").asInt() + " of "
-                    + n.path("capacity").asInt() + " slots taken or waited for" : "none known");
+                    + n.path("capacity").asInt() + " slots taken or waited for");
             line(s, "ready", n.path("ready"));
             return s.toString();
         }
@@ -80,16 +80,25 @@
         line(s, "phase of the commit", n.path("phase"));
         line(s, "voters", n.path("voters"));
         if (n.path("leads").asBoolean()) {
-            line(s, "unconfirmed wefts", n.path("unconfirmed"));
+            line(s, "unconfirmed", n.path("unconfirmed"));
         }
         n.path("evacuations").fields().forEachRemaining(e -> {
             if (e.getValue().asBoolean()) {
                 line(s, "evacuated", e.getKey());
             }
         });
-        n.path("wefts").fields().forEachRemaining(w -> line(s, "weft " + w.getKey(), (w.getValue().path("member").asBoolean()
-                ? "member" : "no session") + ", server " + w.getValue().path("server").asText("none") + " of "
-                + w.getValue().path("target").asText() + (w.getValue().path("open").asBoolean() ? ", open" : ", closed")));
+        n.path("duties").fields().forEachRemaining(d -> line(s, "duty " + d.getKey(), d.getValue()));
+        n.path("sides").fields().forEachRemaining(w -> line(s, w.getKey(), (w.getValue().path("member").asBoolean()
+                ? "member" : "no session") + doors(w.getValue().path("doors"))));
+        return s.toString();
+    }
+
+    private static String doors(JsonNode doors) {
+        StringBuilder s = new StringBuilder();
+        for (JsonNode d : doors) {
+            s.append("; ").append(d.path("target").asText()).append(": ").append(d.path("servers").asText("none"))
+                    .append(d.path("open").asBoolean() ? ", open" : ", closed");
+        }
         return s.toString();
     }
 
--- a/src/main/java/bramblespool/coordination/Fleet.java
+++ b/src/main/java/bramblespool/coordination/Fleet.java
@@ -11,36 +11,46 @@
 import java.util.Map;
 import java.util.Set;
 
-/** The wefts and their servers as the news tells, with what this weft has itself seen of them; chooses among them. */
+/** The data plane's daemons and their doors as the news tells, with what this daemon has itself seen of them. */
 public final class Fleet {
-    /** Another weft with its server. */
-    public static final class Member {
+    /** Another daemon of the data plane. */
+    public static final class Peer {
         public final String node;
-        public String peer;
+        public String address;
         public String inbound;
         public String zone;
-        public String target;
-        public String server;
-        int capacity = 1;
-        boolean open;
         boolean gone;
         boolean absent;
-        long coldUntil;
         long suspectUntil;
-        int outstanding;
-        int reported;
-        long reportedAt;
         public long heard;
         /** When it was last told the news because its marks were old. */
         long told;
+        private final Map<String, Door> doors = new HashMap<>();
 
-        Member(String node) {
+        Peer(String node) {
             this.node = node;
         }
 
-        /** Whether it should get work, as far as is known. */
-        boolean sound(long now) {
-            return open && !gone && !absent && suspectUntil <= now;
+        private boolean sound(long now) {
+            return !gone && !absent && suspectUntil <= now;
+        }
+    }
+
+    /** What a daemon leads to: its servers of one service, behind its gates. A weft has one door, with one server. */
+    public static final class Door {
+        public final Peer at;
+        public final String target;
+        public String servers = "";
+        int capacity = 1;
+        boolean open;
+        long coldUntil;
+        int outstanding;
+        int reported;
+        long reportedAt;
+
+        private Door(Peer at, String target) {
+            this.at = at;
+            this.target = target;
         }
     }
 
@@ -54,8 +64,8 @@
     private final String self;
     private final String zone;
     private final long suspectMs;
-    private final Map<String, Member> members = new HashMap<>();
-    private final Map<String, List<Member>> byTarget = new HashMap<>();
+    private final Map<String, Peer> peers = new HashMap<>();
+    private final Map<String, List<Door>> byTarget = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
 
     public Fleet(Clock clock, String self, String zone, long suspectMs) {
@@ -65,7 +75,8 @@
         this.suspectMs = suspectMs;
     }
 
-    public static final String WEFT = "weft/";
+    /** Key of a data plane daemon's own item, weft or hem. */
+    public static final String SIDE = "weft/";
     public static final String SESSION = "session/";
     public static final String HELM = "helm/";
     public static final String EVAC = "evac/";
@@ -74,8 +85,8 @@
     /** The peer addresses of the helms that the news knows, and of the seeds. */
     static Set<String> helms(News news, Settings settings) {
         Set<String> out = new LinkedHashSet<>();
-        for (News.Item i : news.all()) {
-            if (i.key().startsWith(HELM) && !i.body().path("gone").asBoolean()) {
+        for (News.Item i : news.under(HELM)) {
+            if (!i.body().path("gone").asBoolean()) {
                 out.add(i.body().path("peer").asText());
             }
         }
@@ -84,13 +95,13 @@
     }
 
     public void hear(News.Item i) {
-        if (i.key().startsWith(WEFT)) {
-            weft(i.key().substring(WEFT.length()), i.body());
+        if (i.key().startsWith(SIDE)) {
+            side(peer(i.key().substring(SIDE.length())), i.body());
         } else if (i.key().startsWith(SESSION)) {
-            Member m = member(i.key().substring(SESSION.length()));
-            m.absent = !i.body().path("open").asBoolean();
-            if (!m.absent) {
-                m.suspectUntil = 0;
+            Peer p = peer(i.key().substring(SESSION.length()));
+            p.absent = !i.body().path("open").asBoolean();
+            if (!p.absent) {
+                p.suspectUntil = 0;
             }
         } else if (i.key().startsWith(EVAC)) {
             String z = i.key().substring(EVAC.length());
@@ -102,44 +113,56 @@
         }
     }
 
-    private Member member(String node) {
-        return members.computeIfAbsent(node, Member::new);
+    private Peer peer(String node) {
+        return peers.computeIfAbsent(node, Peer::new);
     }
 
-    private void weft(String node, JsonNode b) {
-        Member m = member(node);
-        String server = b.path("server").asText("");
-        if (!server.equals(m.server)) {
-            m.suspectUntil = 0;
-            m.reported = 0;
+    private void side(Peer p, JsonNode b) {
+        p.address = b.path("peer").asText();
+        p.inbound = b.path("inbound").asText();
+        p.zone = b.path("zone").asText();
+        p.gone = b.path("gone").asBoolean();
+        Set<String> told = new HashSet<>();
+        for (JsonNode d : b.path("doors")) {
+            String target = d.path("target").asText();
+            told.add(target);
+            door(p.doors.computeIfAbsent(target, t -> {
+                Door fresh = new Door(p, t);
+                byTarget.computeIfAbsent(t, x -> new ArrayList<>()).add(fresh);
+                return fresh;
+            }), d);
         }
-        String target = b.path("target").asText();
-        if (!target.equals(m.target)) {
-            if (m.target != null) {
-                byTarget.get(m.target).remove(m);
+        p.doors.values().removeIf(d -> {
+            boolean away = !told.contains(d.target);
+            if (away) {
+                byTarget.get(d.target).remove(d);
             }
-            byTarget.computeIfAbsent(target, t -> new ArrayList<>()).add(m);
+            return away;
+        });
+    }
+
+    private void door(Door d, JsonNode b) {
+        String servers = b.path("servers").asText();
+        if (!servers.equals(d.servers)) {
+            d.at.suspectUntil = 0;
+            d.reported = 0;
         }
-        m.target = target;
-        m.peer = b.path("peer").asText();
-        m.inbound = b.path("inbound").asText();
-        m.zone = b.path("zone").asText();
-        m.server = server;
-        m.capacity = Math.max(1, b.path("capacity").asInt());
-        m.open = b.path("open").asBoolean();
-        m.gone = b.path("gone").asBoolean();
+        d.servers = servers;
+        d.capacity = Math.max(1, b.path("capacity").asInt());
+        d.open = b.path("open").asBoolean();
         long cold = b.path("cold").asLong();
-        m.coldUntil = cold > 0 ? clock.now() + cold : 0;
+        d.coldUntil = cold > 0 ? clock.now() + cold : 0;
     }
 
-    Member known(String node) {
-        return members.get(node);
+    Peer known(String node) {
+        return peers.get(node);
     }
 
-    public int wefts() {
+    /** How many daemons of the data plane there are. */
+    public int sides() {
         int n = 0;
-        for (Member m : members.values()) {
-            if (m.peer != null && !m.gone) {
+        for (Peer p : peers.values()) {
+            if (p.address != null && !p.gone) {
                 n++;
             }
         }
@@ -149,18 +172,20 @@
     /** The least capacity that servers of a service are known to have, or the given one where none is known. */
     public int capacityOf(String service, int otherwise) {
         int least = Integer.MAX_VALUE;
-        for (Member m : byTarget.getOrDefault(service, List.of())) {
-            if (m.server != null && !m.server.isEmpty()) {
-                least = Math.min(least, m.capacity);
+        for (Door d : byTarget.getOrDefault(service, List.of())) {
+            if (!d.servers.isEmpty()) {
+                least = Math.min(least, d.capacity);
             }
         }
         return least == Integer.MAX_VALUE ? otherwise : least;
     }
 
     public boolean anyServer() {
-        for (Member m : members.values()) {
-            if (m.open && !m.gone) {
-                return true;
+        for (Peer p : peers.values()) {
+            for (Door d : p.doors.values()) {
+                if (d.open && !p.gone) {
+                    return true;
+                }
             }
         }
         return false;
@@ -170,11 +195,12 @@
         return evacuated.contains(z);
     }
 
-    public List<String> peerAddresses() {
+    /** Those to pass news to; with {@code near}, of the own zone only. */
+    public List<String> peerAddresses(boolean near) {
         List<String> out = new ArrayList<>();
-        for (Member m : members.values()) {
-            if (m.peer != null && !m.gone && !m.absent && !m.node.equals(self)) {
-                out.add(m.peer);
+        for (Peer p : peers.values()) {
+            if (p.address != null && !p.gone && !p.absent && !p.node.equals(self) && (!near || p.zone.equals(zone))) {
+                out.add(p.address);
             }
         }
         return out;
@@ -182,75 +208,76 @@
 
     // ---- what is seen of them
 
-    public void sending(Member m) {
-        m.outstanding++;
+    public void sending(Door d) {
+        d.outstanding++;
     }
 
-    public void ended(Member m) {
-        m.outstanding--;
+    public void ended(Door d) {
+        d.outstanding--;
     }
 
-    public void report(Member m, int load) {
-        m.reported = load;
-        m.reportedAt = clock.now();
-        m.heard = m.reportedAt;
-        m.suspectUntil = 0;
+    public void report(Door d, int load) {
+        d.reported = load;
+        d.reportedAt = clock.now();
+        d.at.heard = d.reportedAt;
+        d.at.suspectUntil = 0;
     }
 
-    public void suspect(Member m) {
-        m.suspectUntil = clock.now() + suspectMs;
+    public void suspect(Peer p) {
+        p.suspectUntil = clock.now() + suspectMs;
     }
 
-    public boolean suspected(Member m) {
-        return m.suspectUntil > clock.now();
+    public boolean suspected(Peer p) {
+        return p.suspectUntil > clock.now();
     }
 
-    private double cost(Member m, long now) {
-        double load = m.outstanding;
-        if (now - m.reportedAt < REPORT_MS) {
-            load = Math.max(load, m.reported);
+    private double cost(Door d, long now) {
+        double load = d.outstanding;
+        if (now - d.reportedAt < REPORT_MS) {
+            load = Math.max(load, d.reported);
         }
-        return load / m.capacity + (m.coldUntil > now ? COLD_COST : 0);
+        return load / d.capacity + (d.coldUntil > now ? COLD_COST : 0);
     }
 
-    /** A server of the service not tried yet, or null where there is none. */
-    public Member choose(String service, Set<Member> tried) {
-        List<Member> all = byTarget.get(service);
+    /** A door of the service not tried yet, or null where there is none. */
+    public Door choose(String service, Set<Door> tried) {
+        List<Door> all = byTarget.get(service);
         if (all == null) {
             return null;
         }
         long now = clock.now();
-        List<Member> near = new ArrayList<>(all.size());
-        List<Member> sound = new ArrayList<>(all.size());
-        List<Member> other = new ArrayList<>(all.size());
-        for (Member m : all) {
-            if (tried.contains(m) || m.gone || m.inbound == null || evacuated.contains(m.zone)) {
+        List<Door> near = new ArrayList<>(all.size());
+        List<Door> sound = new ArrayList<>(all.size());
+        List<Door> other = new ArrayList<>(all.size());
+        for (Door d : all) {
+            Peer p = d.at;
+            if (tried.contains(d) || p.gone || p.inbound == null || evacuated.contains(p.zone)) {
                 continue;
             }
-            if (!m.sound(now)) {
-                if (m.open) {
-                    other.add(m);
+            if (!d.open || !p.sound(now)) {
+                if (d.open) {
+                    other.add(d);
                 }
                 continue;
             }
-            if (m.node.equals(self) && cost(m, now) < NEAR_SHARE) {
-                return m;
+            if (p.node.equals(self) && cost(d, now) < NEAR_SHARE) {
+                return d;
             }
-            sound.add(m);
-            if (m.zone.equals(zone) && cost(m, now) < NEAR_SHARE) {
-                near.add(m);
+            sound.add(d);
+            if (p.zone.equals(zone) && cost(d, now) < NEAR_SHARE) {
+                near.add(d);
             }
         }
         // Where all seem lost it is likelier that the news is: any server that said it was open is tried.
         return best(!near.isEmpty() ? near : !sound.isEmpty() ? sound : other, now);
     }
 
-    private Member best(List<Member> of, long now) {
+    private Door best(List<Door> of, long now) {
         if (of.isEmpty()) {
             return null;
         }
-        Member a = of.get((int) (clock.chance() * of.size()));
-        Member b = of.get((int) (clock.chance() * of.size()));
+        Door a = of.get((int) (clock.chance() * of.size()));
+        Door b = of.get((int) (clock.chance() * of.size()));
         return cost(b, now) < cost(a, now) ? b : a;
     }
 }
--- a/src/main/java/bramblespool/coordination/Gate.java
+++ b/src/main/java/bramblespool/coordination/Gate.java
@@ -3,6 +3,7 @@
 import bramblespool.protocol.Beat;
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
+import bramblespool.state.Settings;
 import bramblespool.transport.Clock;
 import it.unimi.dsi.fastutil.longs.LongArrayFIFOQueue;
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
@@ -21,8 +22,31 @@
     public record Refusal(String why, long retryMs) {
     }
 
-    /** Figures of the rules, as the settings give them. */
-    public record Rules(long beat, long drain, double warmExcess, double warmSlack) {
+    /**
+     * Figures of the rules, as the settings give them. {@code beat} is 0 where servers send none but stand on a list;
+     * {@code serveOn}: how long a draining server is still sent to, until callers have learned of it.
+     */
+    public record Rules(long beat, long serveOn, long drain, double warmExcess, double warmSlack) {
+        /** For a server that beats to the daemon beside it. */
+        public static Rules beating(Settings s) {
+            Settings.Bounds b = s.bounds();
+            return new Rules(s.beat(), b.drain() / 3, b.drain(), b.warmExcess(), b.warmSlack());
+        }
+
+        /** For a server known from a list: what the list shows is late already. */
+        public static Rules listed(Settings s) {
+            Settings.Bounds b = s.bounds();
+            return new Rules(0, 0, b.drain(), b.warmExcess(), b.warmSlack());
+        }
+
+        private boolean beats() {
+            return beat > 0;
+        }
+
+        /** When to look again after a server that is not there. */
+        private long lookAgain() {
+            return beats() ? beat / 3 : drain / 12;
+        }
     }
 
     /** One request at the gate. */
@@ -95,7 +119,7 @@
     private final Clock clock;
     private final Log log;
     private final Rules rules;
-    private final String ownAddress;
+    private final String address;
     private final String target;
     private final Runnable changed;
     private String id;
@@ -103,6 +127,7 @@
     private boolean draining;
     private long drainingSince;
     private boolean down;
+    private long downSince;
     private boolean evacuated;
     private boolean doubt = true;
     private long coldUntil;
@@ -120,10 +145,10 @@
     private double meanWork = FIRST_GUESS_MS;
     private Clock.Timer warmTimer;
 
-    public Gate(Clock clock, Rules rules, String ownAddress, String target, Runnable changed, Log log) {
+    public Gate(Clock clock, Rules rules, String address, String target, Runnable changed, Log log) {
         this.clock = clock;
         this.rules = rules;
-        this.ownAddress = ownAddress;
+        this.address = address;
         this.target = target;
         this.changed = changed;
         this.log = log;
@@ -138,8 +163,8 @@
         if (!b.target().equals(target)) {
             return "target: this machine's server is of " + target;
         }
-        if (!b.address().equals(ownAddress)) {
-            return "address: this machine's server is at " + ownAddress;
+        if (!b.address().equals(address)) {
+            return "address: this machine's server is at " + address;
         }
         if (ended.contains(b.id()) || b.id().equals(id) && b.callSeq() <= lastSeq) {
             return null;
@@ -179,6 +204,36 @@
         return null;
     }
 
+    /** Takes the word of the platform's list, which knows this server by the id the gate was made for. */
+    public void listed(String which, int slots, boolean drains, long warmupLeft) {
+        boolean fresh = id == null;
+        boolean news = fresh || drains && !draining || slots != capacity;
+        id = which;
+        capacity = slots;
+        lastBeat = clock.now();
+        doubt = false;
+        coldUntil = warmupLeft > 0 ? lastBeat + warmupLeft : 0;
+        if (drains && !draining) {
+            draining = true;
+            drainingSince = lastBeat;
+            log.say(Event.SERVER_DRAINING, "server", id);
+        }
+        if (news) {
+            changed.run();
+            refuseAll();
+        }
+    }
+
+    /** No longer this daemon's: nothing more goes there, and what waits is refused. */
+    public void close() {
+        if (id != null) {
+            ended.add(id);
+            down = true;
+            downSince = Long.MAX_VALUE / 2;
+            refuseAll();
+        }
+    }
+
     /** Takes the word of a probe where no beat has come since this process started. */
     public void probed(String who, int slots, long warmupLeft) {
         if (id != null || ended.contains(who)) {
@@ -213,6 +268,7 @@
             log.say(event, "server", id);
         }
         down = true;
+        downSince = clock.now();
         doubt = true;
         changed.run();
         refuseAll();
@@ -221,8 +277,13 @@
     /** To be called now and then. */
     public void check() {
         long now = clock.now();
-        if (id != null && !down && now - lastBeat > rules.beat * SILENT_BEATS) {
+        if (id != null && !down && rules.beats() && now - lastBeat > rules.beat * SILENT_BEATS) {
             gone(Event.SERVER_SILENT);
+        } else if (down && !rules.beats() && now - downSince > rules.drain / 4) {
+            // Nobody will say that it is back: the next request finds out.
+            down = false;
+            doubt = false;
+            changed.run();
         }
     }
 
@@ -262,17 +323,26 @@
         return capacity;
     }
 
+    public String target() {
+        return target;
+    }
+
+    /** Where the server is reached. */
+    public String address() {
+        return address;
+    }
+
     public int load() {
         return running + queue.size();
     }
 
     public long coldLeft() {
         long now = clock.now();
-        return doubt ? rules.beat : Math.max(0, coldUntil - now);
+        return doubt && rules.beats() ? rules.beat : Math.max(0, coldUntil - now);
     }
 
     private boolean cold(long now) {
-        return doubt || coldUntil > now || now - lastBeat > rules.beat * DOUBTED_BEATS;
+        return coldUntil > now || rules.beats() && (doubt || now - lastBeat > rules.beat * DOUBTED_BEATS);
     }
 
     /**
@@ -292,6 +362,14 @@
         return (long) (meanWork * (queue.size() + 1) / Math.max(1, capacity));
     }
 
+    /** Whether a request would rather come here than to the other gate of the same service. */
+    boolean before(Gate other) {
+        if (open() != other.open()) {
+            return open();
+        }
+        return (load() + 1.0) / capacity < (other.load() + 1.0) / other.capacity;
+    }
+
     // ---- requests
 
     /** Lets a request through, queues it, or refuses it at once. */
@@ -338,13 +416,12 @@
 
     private Refusal shut(long now) {
         if (id == null || down) {
-            return new Refusal("none", rules.beat / 3);
+            return new Refusal("none", rules.lookAgain());
         }
         if (evacuated) {
             return new Refusal("evacuated", 0);
         }
-        // Callers learn of the draining within a fraction of its bound; until then it still serves.
-        if (draining && now - drainingSince > rules.drain / 3) {
+        if (draining && now - drainingSince >= rules.serveOn) {
             return new Refusal("draining", 0);
         }
         return null;
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -7,18 +7,21 @@
 import bramblespool.state.Settings;
 import bramblespool.state.Vault;
 import bramblespool.transport.Clock;
+import bramblespool.transport.Platform;
 import bramblespool.transport.Wire;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 
 /** A helm: the cell of its zone, and a member of the agreement above the cells. */
@@ -26,6 +29,14 @@
     /** Ratios to {@code quiet}. */
     private static final int RENEWALS = 6;
     private static final int CALLS = 10;
+    /** Ratio to {@code drain} of the time for which news heard is gathered before it is passed on. */
+    private static final int GATHER = 100;
+    /** Readings of a list within {@code drain}: time for one that fails, and for a new reader to start over. */
+    private static final int READS = 4;
+    /** Rounds of duties within one renewal. */
+    private static final int ROUNDS = 4;
+    /** Key of the duty of reading a zone's list. */
+    private static final String LIST = "list/";
     /** Renewals missed before a session is closed. */
     private static final double CLOSES = 2.6;
 
@@ -49,17 +60,38 @@
     private final Set<String> members = new HashSet<>();
     private final Map<String, Long> published = new HashMap<>();
     private final long callMs;
+    private final Duties duties;
+    /** The zones' lists, where the platform keeps them; each is read by whoever holds that duty. */
+    private final Map<String, Roster> rosters = new TreeMap<>();
     private boolean gone;
     private boolean publishing;
 
-    public HelmCore(Settings settings, Vault vault, String incarnation, Clock clock, Wire wire, Log log) {
+    /** {@code platform}: who keeps the list of servers, or null where they tell of themselves. */
+    public HelmCore(Settings settings, Vault vault, String incarnation, Clock clock, Wire wire, Platform platform,
+            Log log) {
         this.settings = settings;
         this.clock = clock;
         this.wire = wire;
         this.log = log;
         Settings.Bounds b = settings.bounds();
         this.callMs = b.quiet() / CALLS;
-        this.news = new News(clock, wire, callMs, this::others, this::ownWefts);
+        this.news = new News(clock, wire, callMs, b.drain() / GATHER, true, new News.Circle() {
+            @Override
+            public Collection<String> tell(News.Source from) {
+                // Whoever hears a thing first tells the other cells.
+                List<String> out = ownSides();
+                if (from != News.Source.CELL) {
+                    out.addAll(helms());
+                }
+                return out;
+            }
+
+            @Override
+            public List<String> compare() {
+                List<String> sides = ownSides();
+                return sides.isEmpty() || clock.chance() < 0.5 ? List.copyOf(helms()) : sides;
+            }
+        });
         news.author(Fleet.HELM + settings.node(), this::tellSelf);
         news.listen(this::heard);
         if (vault.load() == null) {
@@ -74,6 +106,12 @@
                 Quorum.Times.of(b.quiet(), b.stretch()), log);
         this.commit = new Commit(quorum, ledger, this::phase, () -> new HashSet<>(members), clock,
                 Commit.Times.of(b.ack(), b.apply()), log);
+        if (platform != null) {
+            for (String zone : settings.zones().keySet()) {
+                rosters.put(zone, new Roster(zone, clock, platform, wire, this::hems, b.drain() / READS, callMs, log));
+            }
+        }
+        this.duties = new Duties(quorum, ledger, rosters.keySet().stream().map(z -> LIST + z).toList());
     }
 
     public void start() {
@@ -85,6 +123,38 @@
             quorum.join(helms());
         });
         clock.every(renew, news::mend);
+        if (!rosters.isEmpty()) {
+            clock.every(renew / ROUNDS, this::dutyRound);
+        }
+    }
+
+    private void dutyRound() {
+        duties.check();
+        boolean inTouch = quorum.inTouch();
+        rosters.forEach((zone, r) -> {
+            Ledger.Duty d = ledger.duties().get(LIST + zone);
+            r.hold(inTouch && !gone && d != null && d.holder().equals(settings.peer()), d == null ? 0 : d.fence());
+            r.check();
+        });
+    }
+
+    /** The hems whose sessions stand. */
+    private List<Roster.Hem> hems() {
+        List<Roster.Hem> out = new ArrayList<>();
+        for (String node : members) {
+            News.Item i = news.get(Fleet.SIDE + node);
+            if (i == null || i.body().path("gone").asBoolean()) {
+                continue;
+            }
+            Set<String> holds = new HashSet<>();
+            for (JsonNode d : i.body().path("doors")) {
+                for (String id : d.path("servers").asText().split(" ")) {
+                    holds.add(id);
+                }
+            }
+            out.add(new Roster.Hem(node, i.life(), i.body().path("peer").asText(), i.body().path("zone").asText(), holds));
+        }
+        return out;
     }
 
     public void settings(Settings fresh) {
@@ -120,13 +190,7 @@
         return out;
     }
 
-    private List<String> others() {
-        Set<String> out = helms();
-        out.addAll(ownWefts());
-        return List.copyOf(out);
-    }
-
-    private List<String> ownWefts() {
+    private List<String> ownSides() {
         List<String> out = new ArrayList<>();
         for (Session s : sessions.values()) {
             if (s.open) {
@@ -385,13 +449,13 @@
         commit.unconfirmed().forEach(u::add);
         ObjectNode ev = n.putObject("evacuations");
         ledger.evacuations().forEach((z, e) -> ev.put(z, e.on()));
-        ObjectNode wefts = n.putObject("wefts");
-        for (News.Item i : news.all()) {
-            if (i.key().startsWith(Fleet.WEFT)) {
-                String node = i.key().substring(Fleet.WEFT.length());
-                ObjectNode w = i.body().deepCopy();
-                wefts.set(node, w.put("member", members.contains(node)));
-            }
+        ObjectNode held = n.putObject("duties");
+        ledger.duties().forEach((key, d) -> held.put(key, d.holder()));
+        ObjectNode sides = n.putObject("sides");
+        for (News.Item i : news.under(Fleet.SIDE)) {
+            String node = i.key().substring(Fleet.SIDE.length());
+            ObjectNode w = i.body().deepCopy();
+            sides.set(node, w.put("member", members.contains(node)));
         }
         return n;
     }
--- a/src/main/java/bramblespool/coordination/News.java
+++ b/src/main/java/bramblespool/coordination/News.java
@@ -3,22 +3,25 @@
 import bramblespool.transport.Clock;
 import bramblespool.transport.Wire;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 
 /**
  * What every daemon knows of the others. Each item has one author, who orders its versions by (life, sequence);
- * the newest wins. A change goes to a few others at once; comparing digests mends what was missed.
+ * the newest wins. A change is passed on at once, gathered with others that come close behind it; comparing digests
+ * mends what was missed. The digest is a tree of two levels, so that a comparison costs what differs.
  */
 public final class News {
     public record Item(String key, long life, long seq, JsonNode body) {
@@ -32,32 +35,49 @@
             h *= 0xBF58476D1CE4E5B9L;
             return h ^ h >>> 32;
         }
+
+        int branch() {
+            return (key.hashCode() * 0x9E3779B1 >>> 16) % BRANCHES;
+        }
+    }
+
+    /** Whom an item came from. */
+    public enum Source { OWN, SIDE, CELL }
+
+    /** Whom a daemon tells of what it has just learned, and with whom it compares what it knows. */
+    public interface Circle {
+        Collection<String> tell(Source from);
+
+        List<String> compare();
     }
 
-    /** To how many others a change is passed on at once. */
-    private static final int FANOUT = 2;
+    /** Leaves of the digest: with some hundreds of items few stand in one. */
+    private static final int BRANCHES = 32;
 
     private final Clock clock;
     private final Wire wire;
     private final long callMs;
-    private final Supplier<List<String>> others;
-    private final Supplier<List<String>> near;
-    private final Map<String, Item> items = new TreeMap<>();
+    private final long gatherMs;
+    private final boolean cell;
+    private final Circle circle;
+    private final TreeMap<String, Item> items = new TreeMap<>();
+    private final long[] branches = new long[BRANCHES];
     private final List<Consumer<Item>> listeners = new ArrayList<>();
-    private final List<Item> fresh = new ArrayList<>();
+    private final Map<Source, Map<String, Item>> fresh = new EnumMap<>(Source.class);
     private String author;
     private long life = 1;
     private long seq;
     private long hash;
     private Runnable outlived = () -> { };
 
-    /** {@code near}: those who are told of every change: a cell's own wefts, or a weft's helm. */
-    public News(Clock clock, Wire wire, long callMs, Supplier<List<String>> others, Supplier<List<String>> near) {
+    /** {@code gatherMs}: how long changes heard of are gathered before they are passed on; {@code cell}: in a helm. */
+    public News(Clock clock, Wire wire, long callMs, long gatherMs, boolean cell, Circle circle) {
         this.clock = clock;
         this.wire = wire;
         this.callMs = callMs;
-        this.others = others;
-        this.near = near;
+        this.gatherMs = gatherMs;
+        this.cell = cell;
+        this.circle = circle;
     }
 
     /** Says which item this daemon itself authors, and what to do when an earlier life of it is heard of. */
@@ -86,8 +106,9 @@
         return items.get(key);
     }
 
-    public Collection<Item> all() {
-        return items.values();
+    /** The items whose keys begin so. */
+    public Collection<Item> under(String prefix) {
+        return items.subMap(prefix, prefix + Character.MAX_VALUE).values();
     }
 
     public String hash() {
@@ -96,91 +117,108 @@
 
     /** Publishes this daemon's own item. */
     public void tell(ObjectNode body) {
-        take(new Item(author, life, ++seq, body));
+        take(new Item(author, life, ++seq, body), Source.OWN);
     }
 
     /** Publishes an item whose order is given from outside, such as the agreed log's. */
     public void tell(String key, long itemLife, long itemSeq, ObjectNode body) {
-        take(new Item(key, itemLife, itemSeq, body));
+        take(new Item(key, itemLife, itemSeq, body), Source.OWN);
     }
 
-    private boolean take(Item i) {
+    private void take(Item i, Source from) {
         Item old = items.get(i.key);
         if (!i.newerThan(old)) {
-            return false;
+            return;
         }
         items.put(i.key, i);
-        hash ^= (old == null ? 0 : old.hash()) ^ i.hash();
-        if (fresh.isEmpty()) {
-            clock.soon(this::spread);
+        long change = (old == null ? 0 : old.hash()) ^ i.hash();
+        hash ^= change;
+        branches[i.branch()] ^= change;
+        Map<String, Item> of = fresh.computeIfAbsent(from, s -> new LinkedHashMap<>());
+        if (of.isEmpty()) {
+            clock.after(from == Source.OWN ? 0 : gatherMs, () -> spread(from));
         }
-        fresh.add(i);
+        of.put(i.key, i);
         for (Consumer<Item> l : listeners) {
             l.accept(i);
         }
-        return true;
     }
 
-    private void spread() {
-        List<Item> now = new ArrayList<>(fresh);
-        fresh.clear();
-        ObjectNode m = JsonNodeFactory.instance.objectNode();
+    private void spread(Source from) {
+        List<Item> now = List.copyOf(fresh.get(from).values());
+        fresh.get(from).clear();
+        Set<String> told = new LinkedHashSet<>(circle.tell(from));
+        if (told.isEmpty()) {
+            return;
+        }
+        ObjectNode m = message();
         write(m, now);
-        Set<String> told = new LinkedHashSet<>(near.get());
-        told.addAll(some(FANOUT));
         for (String to : told) {
             wire.call(to, "news", m, callMs, a -> { });
         }
     }
 
-    private List<String> some(int n) {
-        List<String> all = new ArrayList<>(others.get());
-        List<String> out = new ArrayList<>();
-        while (out.size() < n && !all.isEmpty()) {
-            out.add(all.remove((int) (clock.chance() * all.size())));
-        }
-        return out;
+    private ObjectNode message() {
+        return JsonNodeFactory.instance.objectNode().put("cell", cell);
     }
 
     /** One round of mending with somebody chosen by chance. */
     public void mend() {
-        for (String to : some(1)) {
-            compare(to);
+        List<String> all = circle.compare();
+        if (!all.isEmpty()) {
+            compare(all.get((int) (clock.chance() * all.size())));
         }
     }
 
     /** Compares digests with one daemon and exchanges what either lacks. */
     public void compare(String to) {
-        wire.call(to, "digest", digest(), callMs, a -> {
+        ObjectNode m = message().put("hash", hash());
+        ArrayNode b = m.putArray("branches");
+        for (long h : branches) {
+            b.add(brief(h));
+        }
+        wire.call(to, "digest", m, callMs, a -> {
             if (a == null || a.path("same").asBoolean()) {
                 return;
             }
-            merge(a);
-            List<Item> wanted = new ArrayList<>();
-            for (JsonNode k : a.path("want")) {
-                Item i = items.get(k.asText());
-                if (i != null) {
-                    wanted.add(i);
+            boolean[] open = new boolean[BRANCHES];
+            a.path("open").forEach(n -> open[Math.floorMod(n.asInt(), BRANCHES)] = true);
+            JsonNode theirs = a.path("digest");
+            List<Item> give = new ArrayList<>();
+            for (Item i : items.values()) {
+                JsonNode t = theirs.path(i.key);
+                if (open[i.branch()] && (!t.isArray() || i.newerThan(stub(i.key, t)))) {
+                    give.add(i);
                 }
             }
-            if (!wanted.isEmpty()) {
-                ObjectNode m = JsonNodeFactory.instance.objectNode();
-                write(m, wanted);
-                wire.call(to, "news", m, callMs, b -> { });
+            ObjectNode answer = message();
+            write(answer, give);
+            ArrayNode want = answer.putArray("want");
+            for (Iterator<Map.Entry<String, JsonNode>> f = theirs.fields(); f.hasNext();) {
+                Map.Entry<String, JsonNode> e = f.next();
+                if (stub(e.getKey(), e.getValue()).newerThan(items.get(e.getKey()))) {
+                    want.add(e.getKey());
+                }
+            }
+            if (!give.isEmpty() || !want.isEmpty()) {
+                wire.call(to, "news", answer, callMs, got -> {
+                    if (got != null) {
+                        merge(got);
+                    }
+                });
             }
         });
     }
 
-    private ObjectNode digest() {
-        ObjectNode m = JsonNodeFactory.instance.objectNode().put("hash", hash());
-        ObjectNode d = m.putObject("digest");
-        for (Item i : items.values()) {
-            d.putArray(i.key).add(i.life).add(i.seq);
-        }
-        return m;
+    private static String brief(long hash) {
+        return Integer.toHexString((int) (hash ^ hash >>> 32));
     }
 
-    private static void write(ObjectNode m, List<Item> list) {
+    private static Item stub(String key, JsonNode t) {
+        return new Item(key, t.path(0).asLong(), t.path(1).asLong(), null);
+    }
+
+    private static void write(ObjectNode m, Collection<Item> list) {
         var a = m.putArray("items");
         for (Item i : list) {
             a.addObject().put("key", i.key).put("life", i.life).put("seq", i.seq).set("body", i.body);
@@ -188,6 +226,7 @@
     }
 
     public void merge(JsonNode m) {
+        Source from = m.path("cell").asBoolean() ? Source.CELL : Source.SIDE;
         for (JsonNode n : m.path("items")) {
             Item i = new Item(n.path("key").asText(), n.path("life").asLong(), n.path("seq").asLong(), n.path("body"));
             if (i.key.isEmpty() || !i.body.isObject()) {
@@ -201,40 +240,47 @@
                 }
                 continue;
             }
-            take(i);
+            take(i, from);
         }
     }
 
     public boolean serve(String kind, JsonNode m, Consumer<ObjectNode> answer) {
         if (kind.equals("news")) {
             merge(m);
-            answer.accept(JsonNodeFactory.instance.objectNode().put("hash", hash()));
+            ObjectNode out = message();
+            List<Item> wanted = new ArrayList<>();
+            for (JsonNode k : m.path("want")) {
+                Item i = items.get(k.asText());
+                if (i != null) {
+                    wanted.add(i);
+                }
+            }
+            if (!wanted.isEmpty()) {
+                write(out, wanted);
+            }
+            answer.accept(out);
             return true;
         }
         if (!kind.equals("digest")) {
             return false;
         }
-        ObjectNode out = JsonNodeFactory.instance.objectNode();
+        ObjectNode out = message();
         if (hash().equals(m.path("hash").asText())) {
             answer.accept(out.put("same", true));
             return true;
         }
-        JsonNode theirs = m.path("digest");
-        List<Item> give = new ArrayList<>();
-        for (Item i : items.values()) {
-            JsonNode t = theirs.path(i.key);
-            if (!t.isArray() || i.newerThan(new Item(i.key, t.path(0).asLong(), t.path(1).asLong(), null))) {
-                give.add(i);
+        ArrayNode open = out.putArray("open");
+        ObjectNode digest = out.putObject("digest");
+        boolean[] differs = new boolean[BRANCHES];
+        for (int b = 0; b < BRANCHES; b++) {
+            differs[b] = !brief(branches[b]).equals(m.path("branches").path(b).asText());
+            if (differs[b]) {
+                open.add(b);
             }
         }
-        write(out, give);
-        var want = out.putArray("want");
-        for (Iterator<Map.Entry<String, JsonNode>> f = theirs.fields(); f.hasNext();) {
-            Map.Entry<String, JsonNode> e = f.next();
-            Item mine = items.get(e.getKey());
-            if (new Item(e.getKey(), e.getValue().path(0).asLong(), e.getValue().path(1).asLong(), null)
-                    .newerThan(mine)) {
-                want.add(e.getKey());
+        for (Item i : items.values()) {
+            if (differs[i.branch()]) {
+                digest.putArray(i.key).add(i.life).add(i.seq);
             }
         }
         answer.accept(out);
--- a/src/main/java/bramblespool/coordination/Quorum.java
+++ b/src/main/java/bramblespool/coordination/Quorum.java
@@ -168,6 +168,23 @@
         return role == Role.LEADER ? self : leader;
     }
 
+    /** The addresses of the members that answer this leader, its own among them. */
+    public List<String> alive() {
+        List<String> out = new ArrayList<>();
+        for (String v : voters()) {
+            Peer p = peers.get(v);
+            if (v.equals(self) || p != null && clock.now() - p.heard < times.election * 2) {
+                out.add(addressOf(v));
+            }
+        }
+        return out;
+    }
+
+    /** Whether this helm leads or has lately heard from who does. */
+    public boolean inTouch() {
+        return leads() || role == Role.FOLLOWER && leader != null && clock.now() - leaderHeard < times.election * 2;
+    }
+
     public List<String> voters() {
         for (int i = entries.size() - 1; i >= 0; i--) {
             String data = entries.get(i).data();
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -11,13 +11,23 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
 
-/** A weft's part in the control plane: its session, its news, its side of the shadow commit, its gate. */
+/**
+ * A data plane daemon's part in the control plane: its session, its news, its side of the shadow commit, its gates. A
+ * weft has one gate, to the server on its machine; a hem those of the servers it is steward of.
+ */
 public final class WeftCore implements Wire.Service {
+    /** To how many near peers own news is passed on at once, besides the cell. */
+    private static final int FANOUT = 2;
+    /** Once in so many rounds news is compared with anybody, not with a near peer. */
+    private static final int FAR = 8;
+    /** Ratio to {@code drain} of the time for which news heard is gathered before it is passed on. */
+    private static final int GATHER = 100;
     /** Ratios to {@code quiet}. */
     private static final int RENEWALS = 6;
     private static final int CALLS = 10;
@@ -35,7 +45,11 @@
     public final News news;
     public final Fleet fleet;
     public final Shadow shadow;
+    public final Gates gates = new Gates();
+    /** A weft's one gate; null in a hem. */
     public final Gate gate;
+    /** A hem's servers; null in a weft. */
+    private final Steward steward;
     public final Budget budget;
     private final long callMs;
     private String helm;
@@ -57,14 +71,30 @@
         this.log = log;
         Settings.Bounds b = settings.bounds();
         this.callMs = b.quiet() / CALLS;
-        this.news = new News(clock, wire, callMs, this::others,
-                () -> helm == null || !sessionOpen ? List.of() : List.of(helm));
+        this.news = new News(clock, wire, callMs, b.drain() / GATHER, false, new News.Circle() {
+            @Override
+            public Collection<String> tell(News.Source from) {
+                return circle(from);
+            }
+
+            @Override
+            public List<String> compare() {
+                return others();
+            }
+        });
         this.fleet = new Fleet(clock, settings.node(), settings.zone(), b.quiet() / 3);
         this.shadow = new Shadow(clock, b.apply() * 2 / 5, log);
-        this.gate = new Gate(clock, new Gate.Rules(settings.beat(), b.drain(), b.warmExcess(), b.warmSlack()),
-                settings.appAddr(), settings.target(), this::tellSelf, log);
+        if (settings.edge()) {
+            this.gate = null;
+            this.steward = new Steward(clock, Gate.Rules.listed(settings), gates, this::tellSelf, log);
+        } else {
+            this.gate = new Gate(clock, Gate.Rules.beating(settings), settings.appAddr(), settings.target(),
+                    this::tellSelf, log);
+            this.steward = null;
+            gates.add(gate);
+        }
         this.budget = new Budget(b.retryRatio(), b.retrySlack());
-        news.author(Fleet.WEFT + settings.node(), this::tellSelf);
+        news.author(Fleet.SIDE + settings.node(), this::tellSelf);
         news.listen(this::heard);
         shadow.onChange(this::versionChanged);
     }
@@ -77,10 +107,10 @@
             long now = clock.now();
             if (lastTick > 0 && now - lastTick > renew * 3) {
                 log.say(Event.PAUSED, "ms", now - lastTick);
-                gate.paused();
+                gates.paused();
             }
             lastTick = now;
-            gate.check();
+            gates.check();
             renew();
             catchUp();
         });
@@ -106,25 +136,56 @@
     // ---- news
 
     private void tellSelf() {
-        news.tell(JsonNodeFactory.instance.objectNode().put("peer", settings.peer())
-                .put("inbound", settings.inbound()).put("zone", settings.zone()).put("target", settings.target())
-                .put("server", gate.id()).put("capacity", gate.capacity()).put("open", gate.open() && !gone)
-                .put("cold", gate.id() == null ? 0 : gate.coldLeft()).put("gone", gone));
+        ObjectNode self = JsonNodeFactory.instance.objectNode().put("peer", settings.peer())
+                .put("inbound", settings.inbound()).put("zone", settings.zone()).put("gone", gone);
+        self.set("doors", gates.doors(gone));
+        news.tell(self);
     }
 
     private void heard(News.Item i) {
         fleet.hear(i);
-        budget.sharers(fleet.wefts());
+        budget.sharers(fleet.sides());
         if (i.key().equals(Fleet.EVAC + settings.zone())) {
             log.say(Event.EVACUATION, "zone", settings.zone(), "on", i.body().path("on").asBoolean());
-            gate.evacuated(i.body().path("on").asBoolean());
+            gates.evacuated(i.body().path("on").asBoolean());
         } else if (i.key().equals(Fleet.ORDER)) {
             catchUp();
         }
     }
 
+    /**
+     * A cell tells all its sides and the other cells, so with a session only what the cell may not have heard goes to
+     * it, and the own news to a few near peers besides. Without one, everything goes to a few near peers and a far one.
+     */
+    private Collection<String> circle(News.Source from) {
+        Set<String> out = new LinkedHashSet<>();
+        if (sessionOpen && helm != null) {
+            if (from != News.Source.CELL) {
+                out.add(helm);
+            }
+            if (from == News.Source.OWN) {
+                some(fleet.peerAddresses(true), FANOUT, out);
+            }
+        } else {
+            some(fleet.peerAddresses(true), FANOUT, out);
+            some(fleet.peerAddresses(false), 1, out);
+        }
+        return out;
+    }
+
+    private void some(List<String> of, int n, Set<String> out) {
+        for (int i = 0; i < n && !of.isEmpty(); i++) {
+            out.add(of.remove((int) (clock.chance() * of.size())));
+        }
+    }
+
+    /** Whom to compare news with, or ask: mostly near peers, for bytes between zones cost. */
     private List<String> others() {
-        List<String> out = fleet.peerAddresses();
+        List<String> near = fleet.peerAddresses(true);
+        if (!near.isEmpty() && clock.chance() * FAR > 1) {
+            return near;
+        }
+        List<String> out = fleet.peerAddresses(false);
         out.addAll(helms());
         return out;
     }
@@ -136,9 +197,8 @@
     // ---- the session
 
     private String homeHelm() {
-        for (News.Item i : news.all()) {
-            if (i.key().startsWith(Fleet.HELM) && !i.body().path("gone").asBoolean()
-                    && i.body().path("zone").asText().equals(settings.zone())) {
+        for (News.Item i : news.under(Fleet.HELM)) {
+            if (!i.body().path("gone").asBoolean() && i.body().path("zone").asText().equals(settings.zone())) {
                 return i.body().path("peer").asText();
             }
         }
@@ -236,8 +296,7 @@
     // ---- versions
 
     private void versionChanged() {
-        Config.Service s = shadow.real().services.get(settings.target());
-        gate.warming(s == null ? 0 : s.warmPerS(), s == null ? 0 : s.warmup());
+        gates.warming(shadow.real());
     }
 
     /** Compares the version in force here with the one decided, as the news tells it, and acts on the difference. */
@@ -316,10 +375,10 @@
         if (from == null || tag < 0 || tag >= shadow.epoch() || shadow.tagging()) {
             return;
         }
-        Fleet.Member m = fleet.known(from);
-        if (m != null && m.peer != null && clock.now() - m.told > callMs) {
+        Fleet.Peer m = fleet.known(from);
+        if (m != null && m.address != null && clock.now() - m.told > callMs) {
             m.told = clock.now();
-            news.compare(m.peer);
+            news.compare(m.address);
         }
     }
 
@@ -333,12 +392,12 @@
     // ---- peers
 
     /** Asks a peer that has been silent whether it is there. */
-    public void ask(Fleet.Member m) {
-        if (m.peer == null || fleet.suspected(m) || !pinging.add(m.peer)) {
+    public void ask(Fleet.Peer m) {
+        if (m.address == null || fleet.suspected(m) || !pinging.add(m.address)) {
             return;
         }
-        wire.call(m.peer, "ping", JsonNodeFactory.instance.objectNode(), callMs, a -> {
-            pinging.remove(m.peer);
+        wire.call(m.address, "ping", JsonNodeFactory.instance.objectNode(), callMs, a -> {
+            pinging.remove(m.address);
             if (a == null) {
                 fleet.suspect(m);
             } else {
@@ -354,6 +413,7 @@
         }
         switch (kind) {
             case "phase" -> answer.accept(phase(m));
+            case "assign" -> answer.accept(steward == null ? null : steward.assign(m));
             case "ping" -> answer.accept(JsonNodeFactory.instance.objectNode());
             case "doc" -> answer.accept(doc(m.path("epoch").asLong()));
             case "status" -> answer.accept(status());
@@ -406,11 +466,13 @@
     }
 
     private ObjectNode status() {
-        ObjectNode n = JsonNodeFactory.instance.objectNode().put("role", "weft").put("node", settings.node())
-                .put("zone", settings.zone()).put("epoch", shadow.epoch()).put("tagging", shadow.tagging())
-                .put("helm", helm).put("session", sessionOpen).put("ready", ready()).put("server", gate.id())
-                .put("open", gate.open()).put("load", gate.load()).put("capacity", gate.capacity())
-                .put("wefts", fleet.wefts());
+        ObjectNode n = JsonNodeFactory.instance.objectNode().put("role", steward == null ? "weft" : "hem")
+                .put("node", settings.node()).put("zone", settings.zone()).put("epoch", shadow.epoch())
+                .put("tagging", shadow.tagging()).put("helm", helm).put("session", sessionOpen).put("ready", ready())
+                .put("open", gates.open()).put("load", gates.load()).put("capacity", gates.capacity())
+                .put("sides", fleet.sides());
+        var servers = n.putArray("servers");
+        gates.servers().forEach(servers::add);
         if (shadow.shadow() != null) {
             n.put("shadow", shadow.shadow().epoch);
         }
--- a/src/main/java/bramblespool/protocol/Beat.java
+++ b/src/main/java/bramblespool/protocol/Beat.java
@@ -33,10 +33,7 @@
     public static Beat read(String id, byte[] body) throws Config.Invalid {
         List<String> faults = new ArrayList<>();
         Fields f = new Fields(Config.tree(new String(body, StandardCharsets.UTF_8)), "", faults);
-        String state = f.text("state");
-        if (state != null && !state.equals("ready") && !state.equals("draining")) {
-            f.fault("state", "must be ready or draining, not " + state);
-        }
+        String state = f.state("state");
         Beat b = new Beat(id, f.text("target"), f.address("address", null), f.text("zone", ""),
                 (int) f.whole("capacity", null), "draining".equals(state), f.time("warmupLeft", "0ms"),
                 f.whole("callSeq", 0L));
--- a/src/main/java/bramblespool/protocol/Names.java
+++ b/src/main/java/bramblespool/protocol/Names.java
@@ -16,8 +16,9 @@
     public static final HttpString CALLER = new HttpString("X-Caller-Service");
     public static final HttpString WARMUP = new HttpString("X-Warmup-Ms");
     public static final HttpString INSTANCE_ID = new HttpString("X-Instance-Id");
-    /** Between wefts only. */
+    /** Between daemons of the data plane only. */
     public static final HttpString MARK = new HttpString("X-Spool-Mark");
+    public static final HttpString SERVICE = new HttpString("X-Spool-Service");
     public static final HttpString FROM = new HttpString("X-Spool-From");
     public static final HttpString VERDICT = new HttpString("X-Spool-Verdict");
     public static final HttpString WHY = new HttpString("X-Spool-Why");
@@ -28,7 +29,7 @@
     private static final Set<HttpString> ONE_HOP = Set.of(Headers.CONNECTION, KEEP_ALIVE, PROXY_CONNECTION, Headers.TE,
             Headers.TRAILER, Headers.TRANSFER_ENCODING, Headers.UPGRADE, Headers.EXPECT, Headers.CONTENT_LENGTH,
             Headers.PROXY_AUTHENTICATE, Headers.PROXY_AUTHORIZATION);
-    private static final Set<HttpString> OURS = Set.of(CALLER, INSTANCE, MARK, FROM, VERDICT, WHY, LOAD);
+    private static final Set<HttpString> OURS = Set.of(CALLER, INSTANCE, MARK, SERVICE, FROM, VERDICT, WHY, LOAD);
 
     private Names() {
     }
--- a/src/main/java/bramblespool/role/Courier.java
+++ b/src/main/java/bramblespool/role/Courier.java
@@ -11,7 +11,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 
-/** Takes a request through the gate to this machine's server, once, and says what came of it. */
+/** Takes a request through a gate to its server, once, and says what came of it. */
 final class Courier {
     /** How a send ended. {@code arrived}: the server saw it, run or not. */
     record Result(Verdict verdict, Upstream.Answer answer, String why, long retryMs, boolean arrived) {
@@ -46,17 +46,14 @@
     private static final double IDLE_SHARE = 0.5;
 
     private final Clock clock;
-    private final Gate gate;
     private final Upstream upstream;
-    private final String app;
     private final long connectMs;
+    /** How long an idle connection to a server is used again, as far as servers have told. */
     private long idleMs;
 
-    Courier(Clock clock, Gate gate, Upstream upstream, String app, long connectMs, long idleMs) {
+    Courier(Clock clock, Upstream upstream, long connectMs, long idleMs) {
         this.clock = clock;
-        this.gate = gate;
         this.upstream = upstream;
-        this.app = app;
         this.connectMs = connectMs;
         this.idleMs = idleMs;
     }
@@ -74,8 +71,8 @@
         return new Upstream.Request(p.method, p.target, headers, p.body);
     }
 
-    void serve(Parcel p, Config.Route route, Taker taker) {
-        Run run = new Run(p, taker);
+    void serve(Gate gate, Parcel p, Config.Route route, Taker taker) {
+        Run run = new Run(gate, p, taker);
         run.ticket = gate.offer(route.name(), route.rank(), route.goal(), p.deadline, run::go,
                 r -> taker.take(Result.neverRan(r.why(), r.retryMs(), false), null));
         if (run.early) {
@@ -84,6 +81,7 @@
     }
 
     private final class Run implements Upstream.Receiver {
+        private final Gate gate;
         private final Parcel parcel;
         private final Taker taker;
         private Gate.Ticket ticket;
@@ -93,7 +91,8 @@
         private String server;
         private boolean over;
 
-        Run(Parcel parcel, Taker taker) {
+        Run(Gate gate, Parcel parcel, Taker taker) {
+            this.gate = gate;
             this.parcel = parcel;
             this.taker = taker;
         }
@@ -118,13 +117,15 @@
             Names.copy(parcel.headers, headers);
             headers.put(Names.DEADLINE, left);
             headers.put(Names.INSTANCE, server);
-            headers.put(Names.CALLER, parcel.caller);
+            if (!parcel.caller.isEmpty()) {
+                headers.put(Names.CALLER, parcel.caller);
+            }
             patience = clock.after(left + GRACE_MS, () -> {
                 boolean sent = call.sent();
                 call.drop();
                 end(sent ? Result.mayHaveRun("deadline") : Result.neverRan("late", 0, false), false, null);
             });
-            call = upstream.send(app, new Upstream.Manner(connectMs, idleMs, BUFFERED), request(parcel, headers), this);
+            call = upstream.send(gate.address(), new Upstream.Manner(connectMs, idleMs, BUFFERED), request(parcel, headers), this);
         }
 
         private void end(Result r, boolean worked, Ending ending) {
@@ -141,15 +142,17 @@
 
         @Override
         public void answer(Upstream.Answer a) {
-            String attempt = a.headers().getFirst(Names.ATTEMPT);
             int keep = Names.keepAliveSeconds(a.headers());
             if (keep > 0) {
                 idleMs = (long) (keep * 1000 * IDLE_SHARE);
             }
-            if (a.code() == 421) {
-                if (call != null) {
-                    call.finished(false);
-                }
+            if (!parcel.attempt.equals(a.headers().getFirst(Names.ATTEMPT))) {
+                // Whatever it says, it says of another request, a refusal as much as a success.
+                call.spoil();
+                upstream.forget(gate.address());
+                end(Result.mayHaveRun("an answer to another request"), false, null);
+            } else if (a.code() == 421) {
+                call.spoil();
                 gate.unreachable(server);
                 end(Result.neverRan("none", 0, false), false, null);
             } else if (a.headers().contains(Names.NOT_RUN)) {
@@ -157,12 +160,6 @@
                     call.finished(false);
                 }
                 end(Result.neverRan("turned away", 0, true), false, null);
-            } else if (attempt != null && !attempt.equals(parcel.attempt)) {
-                if (!a.body().whole()) {
-                    call.finished(false);
-                }
-                upstream.forget(app);
-                end(Result.mayHaveRun("an answer to another request"), false, null);
             } else if (a.body().whole()) {
                 end(new Result(Verdict.ANSWERED, a, null, 0, true), a.code() < 500, null);
             } else {
--- a/src/main/java/bramblespool/role/Exchanges.java
+++ b/src/main/java/bramblespool/role/Exchanges.java
@@ -28,6 +28,12 @@
         x.getResponseSender().send(ByteBuffer.wrap(bytes));
     }
 
+    static void json(HttpServerExchange x, int status, String json) {
+        x.setStatusCode(status);
+        x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        x.getResponseSender().send(ByteBuffer.wrap(json.getBytes(StandardCharsets.UTF_8)));
+    }
+
     /** A refusal with the promise that the request has not run. */
     static void comeBack(HttpServerExchange x, long afterMs, String why) {
         if (afterMs > 0) {
--- a/src/main/java/bramblespool/role/Helm.java
+++ b/src/main/java/bramblespool/role/Helm.java
@@ -8,6 +8,7 @@
 import bramblespool.state.Log.Event;
 import bramblespool.state.Settings;
 import bramblespool.state.SqliteVault;
+import bramblespool.transport.HttpPlatform;
 import bramblespool.transport.HttpWire;
 import bramblespool.transport.Loop;
 import bramblespool.transport.Ports;
@@ -45,7 +46,9 @@
         Upstream upstream = new Upstream(loop, ports.buffers());
         HttpWire wire = new HttpWire(loop, upstream, ports.buffers(), IDLE_MS / 2, log);
         vault = new SqliteVault(s.dataDir(), loop::post, loop::now, log);
-        core = new HelmCore(s, vault, Long.toHexString(new SecureRandom().nextLong()), loop, wire, log);
+        HttpPlatform platform = s.discovery() == Settings.Discovery.PLATFORM
+                ? new HttpPlatform(loop, upstream, s.platform(), s.bounds().drain() / 8) : null;
+        core = new HelmCore(s, vault, Long.toHexString(new SecureRandom().nextLong()), loop, wire, platform, log);
         wire.serve(core);
         var bounds = Ports.bounds(64 << 10, HttpWire.LARGEST, IDLE_MS, IDLE_MS);
         ports.listen(s.peer(), wire, bounds);
@@ -66,16 +69,16 @@
             // Only the weft beside a server can vouch for it.
             refuse(x, "the daemon on the server's machine is wanted");
         } else if (!replace && !amend && !read && !evac) {
-            Weft.answer(x, 404, error("no such call"));
+            Exchanges.json(x, 404, error("no such call"));
         } else if (read ? !get : !post) {
-            Weft.answer(x, 405, error("wrong method"));
+            Exchanges.json(x, 405, error("wrong method"));
         } else if (!core.quorum.leads()) {
             String leader = core.quorum.leaderControl();
             if (leader == null) {
                 refuse(x, "no leader is known");
             } else {
                 x.getResponseHeaders().put(Headers.LOCATION, "http://" + leader + path);
-                Weft.answer(x, 307, "{}");
+                Exchanges.json(x, 307, "{}");
             }
         } else {
             held++;
@@ -91,27 +94,27 @@
     private void order(HttpServerExchange x, String path, Stream.Body body) {
         if (!body.whole()) {
             x.setPersistent(false);
-            Weft.answer(x, 413, error("too large"));
+            Exchanges.json(x, 413, error("too large"));
         } else if (path.equals(CONFIG + "read")) {
             core.read(v -> {
                 if (v == null) {
                     refuse(x, "no quorum");
                 } else if (v.document() == null) {
-                    Weft.answer(x, 404, error("there is no configuration yet"));
+                    Exchanges.json(x, 404, error("there is no configuration yet"));
                 } else {
-                    Weft.answer(x, 200, v.document());
+                    Exchanges.json(x, 200, v.document());
                 }
             });
         } else if (path.startsWith(EVACUATION)) {
             String rest = path.substring(EVACUATION.length());
             String zone = rest.substring(0, Math.max(0, rest.lastIndexOf('/')));
             if (!zones.contains(zone)) {
-                Weft.answer(x, 404, error("no such zone: " + zone));
+                Exchanges.json(x, 404, error("no such zone: " + zone));
                 return;
             }
             core.evacuate(zone, rest.endsWith("/begin"), ok -> {
                 if (ok) {
-                    Weft.answer(x, 200, "{}");
+                    Exchanges.json(x, 200, "{}");
                 } else {
                     refuse(x, "the lead was lost");
                 }
@@ -126,7 +129,7 @@
         try {
             change = Orders.change(amends, body);
         } catch (Config.Invalid e) {
-            Weft.answer(x, 400, error(e.getMessage()));
+            Exchanges.json(x, 400, error(e.getMessage()));
             return;
         }
         core.change(change, o -> {
@@ -135,16 +138,16 @@
             } else if (o.status() == 200) {
                 JsonObject ok = new JsonObject();
                 ok.addProperty("epoch", o.epoch());
-                Weft.answer(x, 200, ok.toString());
+                Exchanges.json(x, 200, ok.toString());
             } else {
-                Weft.answer(x, o.status(), error(o.word()));
+                Exchanges.json(x, o.status(), error(o.word()));
             }
         });
     }
 
     private void refuse(HttpServerExchange x, String why) {
         x.getResponseHeaders().put(Headers.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryMs / 1000.0));
-        Weft.answer(x, 503, error(why));
+        Exchanges.json(x, 503, error(why));
     }
 
     private static String error(String what) {
--- a/src/main/java/bramblespool/role/Inbound.java
+++ b/src/main/java/bramblespool/role/Inbound.java
@@ -1,6 +1,7 @@
 package bramblespool.role;
 
 import bramblespool.coordination.Gate;
+import bramblespool.coordination.Gates;
 import bramblespool.coordination.Shadow;
 import bramblespool.protocol.Names;
 import bramblespool.protocol.Verdict;
@@ -14,28 +15,29 @@
 import io.undertow.util.SameThreadExecutor;
 import java.util.function.BiConsumer;
 
-/** Calls from other wefts: the mark chooses the version, the gate decides, the courier carries. */
+/** Calls from other daemons of the data plane: the mark chooses the version, the gate decides, the courier carries. */
 final class Inbound implements HttpHandler {
     private final Clock clock;
     private final Shadow shadow;
-    private final Gate gate;
+    private final Gates gates;
     private final Courier courier;
     private final ByteBufferPool buffers;
+    /** The one service of this machine's server, or null where callers name the service. */
     private final String target;
     private final BiConsumer<String, String> marked;
 
-    Inbound(Clock clock, Shadow shadow, Gate gate, Courier courier, ByteBufferPool buffers, String target,
+    Inbound(Clock clock, Shadow shadow, Gates gates, Courier courier, ByteBufferPool buffers, String target,
             BiConsumer<String, String> marked) {
         this.clock = clock;
         this.shadow = shadow;
-        this.gate = gate;
+        this.gates = gates;
         this.courier = courier;
         this.buffers = buffers;
         this.target = target;
         this.marked = marked;
     }
 
-    /** The route under which this weft may hand the request to its server, or why not. */
+    /** The route under which the request may be handed to a server of the service, or why not. */
     record Way(Config.Route route, String why) {
         static Way of(Shadow shadow, String mark, String host, String path, String target) {
             Shadow.Choice choice = shadow.resolve(mark);
@@ -65,15 +67,18 @@
         long deadline = clock.now() + left;
         String mark = x.getRequestHeaders().getFirst(Names.MARK);
         marked.accept(x.getRequestHeaders().getFirst(Names.FROM), mark);
-        Way way = Way.of(shadow, mark, x.getRequestHeaders().getFirst(Headers.HOST), Exchanges.path(x), target);
-        if (way.route == null) {
-            refuse(x, way.why, 0, false);
+        String service = target != null ? target : x.getRequestHeaders().getFirst(Names.SERVICE);
+        Way way = service == null ? new Way(null, "none")
+                : Way.of(shadow, mark, x.getRequestHeaders().getFirst(Headers.HOST), Exchanges.path(x), service);
+        Gate gate = way.route == null ? null : gates.pick(service);
+        if (gate == null) {
+            refuse(x, service, way.route == null ? way.why : "none", 0, false);
             return;
         }
         Stream.read(x.getRequestChannel(), buffers, Courier.BUFFERED, body -> {
             Courier.Parcel p = new Courier.Parcel(x.getRequestMethod(), Exchanges.target(x), x.getRequestHeaders(),
                     body, x.getRequestHeaders().getFirst(Names.ATTEMPT), caller(x), deadline);
-            courier.serve(p, way.route, (r, ending) -> answer(x, r, ending));
+            courier.serve(gate, p, way.route, (r, ending) -> answer(x, service, r, ending));
         }, e -> x.endExchange());
     }
 
@@ -82,21 +87,21 @@
         return c == null ? "" : c;
     }
 
-    private void answer(HttpServerExchange x, Courier.Result r, Courier.Ending ending) {
+    private void answer(HttpServerExchange x, String service, Courier.Result r, Courier.Ending ending) {
         if (r.verdict() == Verdict.ANSWERED) {
-            x.getResponseHeaders().put(Names.VERDICT, r.verdict().code).put(Names.LOAD, gate.load());
+            x.getResponseHeaders().put(Names.VERDICT, r.verdict().code).put(Names.LOAD, gates.load(service));
             Exchanges.relay(x, r.answer(), buffers, ending);
         } else if (r.verdict() == Verdict.NEVER_RAN) {
-            refuse(x, r.why(), r.retryMs(), r.arrived());
+            refuse(x, service, r.why(), r.retryMs(), r.arrived());
         } else {
-            x.getResponseHeaders().put(Names.VERDICT, r.verdict().code).put(Names.LOAD, gate.load())
+            x.getResponseHeaders().put(Names.VERDICT, r.verdict().code).put(Names.LOAD, gates.load(service))
                     .put(Names.WHY, r.why().replaceAll("[^ -~]", "?"));
             Exchanges.say(x, 502, "");
         }
     }
 
-    private void refuse(HttpServerExchange x, String why, long retryMs, boolean arrived) {
-        x.getResponseHeaders().put(Names.VERDICT, Verdict.NEVER_RAN.code).put(Names.LOAD, gate.load())
+    private void refuse(HttpServerExchange x, String service, String why, long retryMs, boolean arrived) {
+        x.getResponseHeaders().put(Names.VERDICT, Verdict.NEVER_RAN.code).put(Names.LOAD, gates.load(service))
                 .put(Names.WHY, arrived ? why + "!" : why);
         Exchanges.comeBack(x, retryMs, "");
     }
--- a/src/main/java/bramblespool/role/Outbound.java
+++ b/src/main/java/bramblespool/role/Outbound.java
@@ -3,6 +3,7 @@
 import bramblespool.coordination.Budget;
 import bramblespool.coordination.Fleet;
 import bramblespool.coordination.Gate;
+import bramblespool.coordination.Gates;
 import bramblespool.coordination.Shadow;
 import bramblespool.protocol.Names;
 import bramblespool.protocol.Verdict;
@@ -21,7 +22,7 @@
 import java.util.HashSet;
 import java.util.Set;
 
-/** Requests of this machine's clients and of its server: chooses route, version and server, and sees each one through. */
+/** Requests that start here, of clients or of this machine's server: chooses route, version and server, and sees each one through. */
 final class Outbound implements HttpHandler {
     /** How many gates one request is shown to; a refusal at a gate costs no arrival at a server. */
     private static final int GATES = 4;
@@ -32,12 +33,13 @@
     private final Clock clock;
     private final Shadow shadow;
     private final Fleet fleet;
-    private final Gate gate;
+    private final Gates gates;
     private final Budget budget;
     private final Courier courier;
     private final Upstream upstream;
     private final ByteBufferPool buffers;
     private final String node;
+    /** The service of this machine's server; empty where clients come from outside. */
     private final String target;
     private final Upstream.Manner manner;
     private final Doubts doubts;
@@ -47,17 +49,17 @@
 
     /** Who is told when a call to a peer has been waiting, failed, or been refused for its mark. */
     interface Doubts {
-        void silent(Fleet.Member m);
+        void silent(Fleet.Peer p);
 
         void behind();
     }
 
-    Outbound(Clock clock, Shadow shadow, Fleet fleet, Gate gate, Budget budget, Courier courier, Upstream upstream,
+    Outbound(Clock clock, Shadow shadow, Fleet fleet, Gates gates, Budget budget, Courier courier, Upstream upstream,
             ByteBufferPool buffers, String node, String target, Upstream.Manner manner, Doubts doubts, Log log) {
         this.clock = clock;
         this.shadow = shadow;
         this.fleet = fleet;
-        this.gate = gate;
+        this.gates = gates;
         this.budget = budget;
         this.courier = courier;
         this.upstream = upstream;
@@ -154,7 +156,7 @@
         private final String service;
         private final long deadline;
         private final String mark = shadow.mark();
-        private final Set<Fleet.Member> shown = new HashSet<>();
+        private final Set<Fleet.Door> shown = new HashSet<>();
         private Courier.Parcel parcel;
         private Clock.Timer end;
         private int arrivals;
@@ -188,17 +190,17 @@
         }
 
         private void next() {
-            Fleet.Member m = shown.size() < GATES ? fleet.choose(service, shown) : null;
-            if (m == null) {
+            Fleet.Door d = shown.size() < GATES ? fleet.choose(service, shown) : null;
+            if (d == null) {
                 over = true;
                 end.cancel();
                 Exchanges.comeBack(x, retryMs > 0 ? retryMs : RETRY_MS + (long) (clock.chance() * RETRY_MS),
                         "no server can take it");
                 return;
             }
-            shown.add(m);
-            fleet.sending(m);
-            current = new Send(m);
+            shown.add(d);
+            fleet.sending(d);
+            current = new Send(d);
             current.start();
         }
 
@@ -225,7 +227,7 @@
             if ("mark".equals(r.why()) || "route".equals(r.why())) {
                 doubts.behind();
             }
-            log.say(Event.FAILED_CALL, "route", route.name(), "to", send.member.node, "verdict", r.verdict(), "why", r.why());
+            log.say(Event.FAILED_CALL, "route", route.name(), "to", send.door.at.node, "verdict", r.verdict(), "why", r.why());
             boolean again = parcel.body().whole() && (r.verdict() == Verdict.NEVER_RAN || route.idempotent())
                     && deadline - clock.now() > LEAST_MS
                     && (!r.arrived() || arrivals < route.maxTries() && budget.draw(service));
@@ -244,25 +246,26 @@
 
         /** One send to one gate. */
         private final class Send implements Upstream.Receiver {
-            private final Fleet.Member member;
+            private final Fleet.Door door;
             private Upstream.Call call;
             private Clock.Timer watch;
             private boolean counted = true;
 
-            Send(Fleet.Member member) {
-                this.member = member;
+            Send(Fleet.Door door) {
+                this.door = door;
             }
 
             void start() {
-                if (member.node.equals(node)) {
+                if (door.at.node.equals(node)) {
                     Inbound.Way way = Inbound.Way.of(shadow, mark, x.getRequestHeaders().getFirst(Headers.HOST),
-                            Exchanges.path(x), target);
-                    if (way.route() == null) {
-                        finish(Courier.Result.neverRan(way.why(), 0, false), null);
+                            Exchanges.path(x), service);
+                    Gate gate = way.route() == null ? null : gates.pick(service);
+                    if (gate == null) {
+                        finish(Courier.Result.neverRan(way.route() == null ? way.why() : "none", 0, false), null);
                         return;
                     }
-                    courier.serve(parcel, way.route(), (r, ending) -> {
-                        fleet.report(member, gate.load());
+                    courier.serve(gate, parcel, way.route(), (r, ending) -> {
+                        fleet.report(door, gates.load(service));
                         finish(r, ending);
                     });
                     return;
@@ -270,23 +273,27 @@
                 HeaderMap headers = new HeaderMap();
                 Names.copy(parcel.headers(), headers);
                 headers.put(Names.DEADLINE, Math.max(1, deadline - clock.now()));
-                headers.put(Names.CALLER, target);
+                if (target.isEmpty()) {
+                    headers.put(Names.SERVICE, service);
+                } else {
+                    headers.put(Names.CALLER, target);
+                }
                 headers.put(Names.MARK, mark);
                 headers.put(Names.FROM, node);
                 watch();
-                call = upstream.send(member.inbound, manner, Courier.request(parcel, headers), this);
+                call = upstream.send(door.at.inbound, manner, Courier.request(parcel, headers), this);
             }
 
             /** A call that waits long asks whether its peer is still there. */
             private void watch() {
                 watch = clock.after(manner.connectMs(), () -> {
-                    if (fleet.suspected(member) && mayRepeat()) {
+                    if (fleet.suspected(door.at) && mayRepeat()) {
                         call.drop();
                         finish(Courier.Result.mayHaveRun("the peer is silent"), null);
                         return;
                     }
-                    if (clock.now() - member.heard > manner.connectMs()) {
-                        doubts.silent(member);
+                    if (clock.now() - door.at.heard > manner.connectMs()) {
+                        doubts.silent(door.at);
                     }
                     watch();
                 });
@@ -309,7 +316,7 @@
                 }
                 if (counted) {
                     counted = false;
-                    fleet.ended(member);
+                    fleet.ended(door);
                 }
             }
 
@@ -325,15 +332,12 @@
             public void answer(Upstream.Answer a) {
                 String load = a.headers().getFirst(Names.LOAD);
                 if (load != null && load.length() < 6) {
-                    fleet.report(member, Integer.parseInt(load));
+                    fleet.report(door, Integer.parseInt(load));
                 }
                 Verdict v = Verdict.of(a.headers().getFirst(Names.VERDICT));
                 if (v == Verdict.ANSWERED) {
-                    String attempt = a.headers().getFirst(Names.ATTEMPT);
-                    if (attempt != null && !attempt.equals(parcel.attempt())) {
-                        if (!a.body().whole()) {
-                            call.finished(false);
-                        }
+                    if (!parcel.attempt().equals(a.headers().getFirst(Names.ATTEMPT))) {
+                        call.spoil();
                         finish(Courier.Result.mayHaveRun("an answer to another request"), null);
                         return;
                     }
@@ -366,8 +370,8 @@
 
             @Override
             public void failed(Upstream.Reach reach, String cause) {
-                fleet.suspect(member);
-                upstream.forget(member.inbound);
+                fleet.suspect(door.at);
+                upstream.forget(door.at.inbound);
                 finish(reach == Upstream.Reach.UNSENT ? Courier.Result.neverRan(cause, 0, false)
                         : Courier.Result.mayHaveRun(cause), null);
             }
--- /dev/null
+++ b/src/main/java/bramblespool/role/Side.java
@@ -0,0 +1,140 @@
+package bramblespool.role;
+
+import bramblespool.coordination.Fleet;
+import bramblespool.coordination.WeftCore;
+import bramblespool.state.Config;
+import bramblespool.state.Log;
+import bramblespool.state.Log.Event;
+import bramblespool.state.Settings;
+import bramblespool.transport.HttpWire;
+import bramblespool.transport.Loop;
+import bramblespool.transport.Ports;
+import bramblespool.transport.Upstream;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import org.xnio.OptionMap;
+
+/** A data plane process: what weft and hem share. */
+abstract class Side implements Daemon {
+    private static final String READY = "/bramblespool/readiness";
+    /** Between daemons connections are kept so long that traffic comes back to most of them. */
+    private static final int PEER_IDLE_MS = 60_000;
+    private static final long CLIENT_HEADER = 1 << 20;
+
+    final Loop loop;
+    final Log log;
+    final Settings settings;
+    final WeftCore core;
+    final Ports ports;
+    final Upstream upstream;
+    private final Outbound outbound;
+    private final HttpOpenListener clients;
+    private Config.Limits limits = Config.Limits.UNSET;
+    private boolean stopping;
+    private boolean said;
+
+    /** {@code target}: the service of this machine's server, or null where there is none. */
+    Side(Settings s, String target, Loop loop, Log log) throws IOException {
+        this.loop = loop;
+        this.log = log;
+        this.settings = s;
+        Settings.Bounds b = s.bounds();
+        long connectMs = b.quiet() / 12;
+        ports = new Ports(loop, log);
+        upstream = new Upstream(loop, ports.buffers());
+        HttpWire wire = new HttpWire(loop, upstream, ports.buffers(), PEER_IDLE_MS / 2, log);
+        core = new WeftCore(s, loop, wire, log);
+        wire.serve(core);
+        Courier courier = new Courier(loop, upstream, connectMs, b.quiet());
+        outbound = new Outbound(loop, core.shadow, core.fleet, core.gates, core.budget, courier, upstream,
+                ports.buffers(), s.node(), target == null ? "" : target,
+                new Upstream.Manner(connectMs, PEER_IDLE_MS / 2, Courier.BUFFERED), new Outbound.Doubts() {
+                    @Override
+                    public void silent(Fleet.Peer p) {
+                        core.ask(p);
+                    }
+
+                    @Override
+                    public void behind() {
+                        core.behind();
+                    }
+                }, log);
+        Inbound inbound = new Inbound(loop, core.shadow, core.gates, courier, ports.buffers(), target, core::marked);
+        ports.listen(s.peer(), wire, peerBounds());
+        ports.listen(s.inbound(), inbound, Ports.bounds(CLIENT_HEADER, -1, PEER_IDLE_MS, PEER_IDLE_MS));
+        ports.listen(s.ready(), this::readiness, peerBounds());
+        clients = ports.listen(s.outbound(), outbound, clientBounds());
+    }
+
+    /** To be called once all listening is done. */
+    final void begin() {
+        core.start();
+        loop.every(settings.bounds().quiet() / 30, this::watch);
+    }
+
+    static OptionMap peerBounds() {
+        return Ports.bounds(CLIENT_HEADER, HttpWire.LARGEST, PEER_IDLE_MS, PEER_IDLE_MS);
+    }
+
+    private OptionMap clientBounds() {
+        return Ports.bounds(limits.headerBytes(), limits.bodyBytes(), (int) limits.headerRead(), (int) limits.idle());
+    }
+
+    /** Puts the operator's limits on connections that come from now on. */
+    private void watch() {
+        Config c = core.shadow.real();
+        if (c != null && !c.limits.equals(limits)) {
+            limits = c.limits;
+            clients.setUndertowOptions(clientBounds());
+        }
+        if (c != null) {
+            configured(c);
+        }
+        if (core.ready() && !said) {
+            said = true;
+            log.say(Event.READY, "epoch", c.epoch);
+        }
+    }
+
+    /** Called now and then with the version in force. */
+    void configured(Config c) {
+    }
+
+    private void readiness(HttpServerExchange x) {
+        if (!x.getRequestURI().equals(READY)) {
+            x.setStatusCode(404);
+        } else if (!x.getRequestMethod().equals(Methods.GET)) {
+            x.setStatusCode(405);
+        } else {
+            x.setStatusCode(core.ready() && !stopping ? 200 : 503);
+        }
+    }
+
+    @Override
+    public void settings(Settings fresh) {
+        core.settings(fresh);
+    }
+
+    /** Not ready at once; goes on serving who still comes; then finishes what it holds. */
+    @Override
+    public void stop(long grace, Runnable stopped) {
+        stopping = true;
+        outbound.stopping();
+        core.leave();
+        loop.after(grace * 2 / 5, () -> {
+            ports.close();
+            long until = loop.now() + grace * 2 / 5;
+            finish(until, stopped);
+        });
+    }
+
+    private void finish(long until, Runnable stopped) {
+        if (outbound.held() == 0 && core.gates.load() == 0 || loop.now() >= until) {
+            stopped.run();
+        } else {
+            loop.after(10, () -> finish(until, stopped));
+        }
+    }
+}
--- a/src/main/java/bramblespool/state/Fields.java
+++ b/src/main/java/bramblespool/state/Fields.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /** Checked reading of a JSON tree: every fault is noted with its place, none is thrown before all are known. */
@@ -110,6 +111,30 @@
         return ms;
     }
 
+    /** One of the words of an enumeration, in small letters. */
+    public <E extends Enum<E>> E choice(String field, E otherwise) {
+        String word = text(field, otherwise.name().toLowerCase(Locale.ROOT));
+        List<String> known = new ArrayList<>();
+        for (E e : otherwise.getDeclaringClass().getEnumConstants()) {
+            String w = e.name().toLowerCase(Locale.ROOT);
+            if (w.equals(word)) {
+                return e;
+            }
+            known.add(w);
+        }
+        fault(field, "must be one of " + String.join(", ", known) + ", not '" + word + "'");
+        return otherwise;
+    }
+
+    /** A server's state: ready or draining. */
+    public String state(String field) {
+        String state = text(field);
+        if (state != null && !state.equals("ready") && !state.equals("draining")) {
+            fault(field, "must be ready or draining, not " + state);
+        }
+        return state;
+    }
+
     /** An IPv4 address and port. */
     public String address(String field, String otherwise) {
         String a = text(field, otherwise);
--- a/src/main/java/bramblespool/state/Ledger.java
+++ b/src/main/java/bramblespool/state/Ledger.java
@@ -24,11 +24,20 @@
     private Phase phase = Phase.NONE;
     private final Map<String, Long> taken = new LinkedHashMap<>();
     private final Map<String, Evacuation> evacuations = new LinkedHashMap<>();
+    private final Map<String, Duty> duties = new LinkedHashMap<>();
 
     /** The index orders a zone's changes. */
     public record Evacuation(boolean on, long index) {
     }
 
+    /** Who holds a duty; the fence, the index of the entry that gave it, only ever rises. */
+    public record Duty(String holder, long fence) {
+    }
+
+    public Map<String, Duty> duties() {
+        return duties;
+    }
+
     public Version current() {
         return current;
     }
@@ -77,6 +86,7 @@
                 }
             }
             case "evac" -> evacuations.put(e.path("zone").asText(), new Evacuation(e.path("on").asBoolean(), index));
+            case "duty" -> duties.put(e.path("key").asText(), new Duty(e.path("holder").asText(), index));
             default -> { }
         }
     }
@@ -108,6 +118,8 @@
         taken.forEach(t::put);
         ObjectNode ev = n.putObject("evac");
         evacuations.forEach((z, e) -> ev.putObject(z).put("on", e.on).put("index", e.index));
+        ObjectNode d = n.putObject("duties");
+        duties.forEach((key, v) -> d.putObject(key).put("holder", v.holder).put("fence", v.fence));
         return n;
     }
 
@@ -122,6 +134,9 @@
         evacuations.clear();
         n.path("evac").fields().forEachRemaining(f -> evacuations.put(f.getKey(),
                 new Evacuation(f.getValue().path("on").asBoolean(), f.getValue().path("index").asLong())));
+        duties.clear();
+        n.path("duties").fields().forEachRemaining(f -> duties.put(f.getKey(),
+                new Duty(f.getValue().path("holder").asText(), f.getValue().path("fence").asLong())));
     }
 
     private static void put(ObjectNode n, Version v) {
--- a/src/main/java/bramblespool/state/Settings.java
+++ b/src/main/java/bramblespool/state/Settings.java
@@ -15,7 +15,17 @@
 public record Settings(String node, String role, String machineClass, String ip, String zone, String region,
         int portFirst, int portLast, List<String> seeds, boolean bootstrap, boolean voting, String dataDir, long beat,
         String appAddr, String target, Map<String, String> zones, String inbound, String outbound, String ready,
-        String control, double cpuShare, long memoryMb, long maxFds, long diskMb, int lossMachines, Bounds bounds) {
+        String control, String deployment, Discovery discovery, String platform, double platformPerS, long platformLag,
+        double cpuShare, long memoryMb, long maxFds, long diskMb, int lossMachines, Bounds bounds) {
+
+    /** Where the list of servers comes from: the servers' own beats, or the platform. */
+    public enum Discovery { STATIC, PLATFORM }
+
+    /** How clients reach the data plane: on its own machines, or through the platform's address. */
+    public enum Entry { STATIC, VIRTUAL_IP }
+
+    private static final String EDGE = "edge";
+    private static final String SIDECAR = "sidecar";
 
     /** The figures of the rules that are in force. */
     public record Bounds(long quiet, long ack, long catchUp, long drain, long grace, long lossSlack, long apply,
@@ -32,6 +42,11 @@
         }
     }
 
+    /** Whether this is a machine that outside clients come to. */
+    public boolean edge() {
+        return machineClass.equals(EDGE);
+    }
+
     /** The port on which the system's own daemons talk to each other, the same on all machines. */
     public String peer() {
         return ip + ":" + portFirst;
@@ -84,17 +99,30 @@
             }
         }
         String machineClass = f.text("machineClass");
-        boolean side = "sidecar".equals(machineClass);
+        boolean side = SIDECAR.equals(machineClass);
+        boolean edge = EDGE.equals(machineClass);
         Fields listen = f.section("listeners");
         Fields limits = f.section("limits");
         Fields b = f.section("bounds");
         String none = side ? null : "";
-        return new Settings(f.text("node"), f.text("role", ""), machineClass, f.text("ip"), f.text("zone"),
+        Discovery discovery = f.choice("discovery", Discovery.STATIC);
+        f.choice("entry", Entry.STATIC);
+        Fields platform = discovery == Discovery.PLATFORM ? f.section("platform")
+                : new Fields(new JsonObject(), "platform.", new ArrayList<>());
+        // A hem's calls from other hems come to the port after the one for messages.
+        String ip = f.text("ip");
+        if (edge && last <= first) {
+            f.fault("portRange", "must leave two ports on an edge machine");
+        }
+        String inbound = edge ? ip + ":" + (first + 1) : listen.address("inbound", none);
+        String outbound = edge ? listen.address("front", null) : listen.address("outbound", none);
+        return new Settings(f.text("node"), f.text("role", ""), machineClass, ip, f.text("zone"),
                 f.text("region", ""), first, last, List.copyOf(seeds), f.flag("bootstrap", false),
-                f.flag("voting", false), f.text("dataDir", side ? "" : null), f.time("beat", "1500ms"),
+                f.flag("voting", false), f.text("dataDir", side || edge ? "" : null), f.time("beat", "1500ms"),
                 f.address("appAddr", none), f.text("target", none), f.table("zones"),
-                listen.address("inbound", none), listen.address("outbound", none), listen.address("ready", none),
-                listen.address("control", null), limits.number("cpuShare", 1.0), limits.whole("memoryMb", 0L),
+                inbound, outbound, listen.address("ready", side || edge ? null : ""),
+                listen.address("control", edge ? "" : null), f.text("deployment", "mesh"), discovery,
+                platform.address("address", null), platform.number("ratePerS", 0.0), platform.time("lag", "0ms"), limits.number("cpuShare", 1.0), limits.whole("memoryMb", 0L),
                 limits.whole("maxFds", 0L), limits.whole("diskMb", 0L),
                 f.has("faultBudget") ? (int) f.section("faultBudget").whole("machines", 1L) : 1, bounds(b));
     }
@@ -104,7 +132,7 @@
                 atLeast(b, "drain", 50), atLeast(b, "grace", 100), b.time("lossSlack", "200ms"),
                 atLeast(b, "apply", 100), b.time("revertSlack", "250ms"), b.time("stretch", "8000ms"),
                 b.number("retryRatio", 0.0), atLeast(b, "retryWindow", 100), b.number("retrySlack", 0.0),
-                b.number("warmExcess", 1.0), b.number("warmSlack", 0.0), atLeast(b, "evac", 100),
+                b.number("warmExcess", 1.0), b.number("warmSlack", 0.0), b.has("evac") ? atLeast(b, "evac", 100) : 0,
                 b.time("recover", "15s"));
     }
 
--- a/src/test/java/bramblespool/GateTest.java
+++ b/src/test/java/bramblespool/GateTest.java
@@ -31,7 +31,7 @@
     @BeforeEach
     void boot() {
         machine.boot();
-        gate = new Gate(machine, new Gate.Rules(1500, 2500, 1.5, 5), "10.0.1.1:9000", "desk", () -> { }, Log.silent());
+        gate = new Gate(machine, new Gate.Rules(1500, 833, 2500, 1.5, 5), "10.0.1.1:9000", "desk", () -> { }, Log.silent());
         gate.warming(8.5, 6000);
     }
 
--- a/src/test/java/bramblespool/sim/SimMesh.java
+++ b/src/test/java/bramblespool/sim/SimMesh.java
@@ -92,7 +92,7 @@
     public void startHelm(String peer, boolean bootstrap) {
         SimWorld.Machine m = world.machine(peer);
         m.boot();
-        HelmCore h = new HelmCore(settings(peer, seeds, bootstrap), m.disk, "i" + ++incarnations, m, m, Log.silent());
+        HelmCore h = new HelmCore(settings(peer, seeds, bootstrap), m.disk, "i" + ++incarnations, m, m, null, Log.silent());
         m.serve(h);
         helms.put(peer, h);
         h.start();
