--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -102,7 +102,7 @@
         }
         Vault.Saved saved = vault.load();
         this.quorum = new Quorum(settings.peer() + "#" + saved.incarnation(), settings.control(),
-                Math.max(1, settings.seeds().size()), saved, clock, wire, vault, this,
+                Math.max(1, settings.seeds().size()), settings.lossMachines(), saved, clock, wire, vault, this,
                 Quorum.Times.of(b.quiet(), b.stretch()), log);
         this.commit = new Commit(quorum, ledger, this::phase, () -> new HashSet<>(members), clock,
                 Commit.Times.of(b.ack(), b.apply()), log);
--- a/src/main/java/bramblespool/coordination/Quorum.java
+++ b/src/main/java/bramblespool/coordination/Quorum.java
@@ -80,6 +80,7 @@
     private final Times times;
     private final Log log;
     private final int wantedVoters;
+    private final int copies;
 
     private long term;
     private String vote;
@@ -101,7 +102,8 @@
     private final Map<Long, Consumer<Boolean>> waiting = new HashMap<>();
     private final List<Read> reads = new ArrayList<>();
 
-    public Quorum(String self, String control, int wantedVoters, Vault.Saved saved, Clock clock, Wire wire, Vault vault,
+    /** {@code losses}: how many disks may be lost at one time with nothing agreed lost and a majority left. */
+    public Quorum(String self, String control, int founders, int losses, Vault.Saved saved, Clock clock, Wire wire, Vault vault,
             Machine machine, Times times, Log log) {
         this.self = self;
         this.control = control;
@@ -111,7 +113,8 @@
         this.machine = machine;
         this.times = times;
         this.log = log;
-        this.wantedVoters = wantedVoters;
+        this.wantedVoters = Math.max(founders, 2 * losses + 1);
+        this.copies = losses + 1;
         this.term = saved.term();
         this.vote = saved.vote();
         this.base = saved.snapshot() != null ? saved.snapshot() : new Vault.Snapshot(0, 0, List.of(), null);
@@ -386,6 +389,14 @@
         return voters().size() / 2 + 1;
     }
 
+    /**
+     * How many durable copies make an entry agreed: a majority, and more than may be lost, also while the group is
+     * still too small for the one to imply the other.
+     */
+    private int enough() {
+        return Math.max(majority(), Math.min(copies, voters().size()));
+    }
+
     private void persist(long truncateFrom, List<Vault.Entry> added, Vault.Snapshot snapshot, Runnable done) {
         vault.save(new Vault.Change(term, vote, commit, truncateFrom, List.copyOf(added), snapshot), done);
     }
@@ -452,7 +463,7 @@
             matches[i] = voters.get(i).equals(self) ? durable : p == null ? 0 : p.match;
         }
         java.util.Arrays.sort(matches);
-        long agreed = matches[matches.length - majority()];
+        long agreed = matches[matches.length - enough()];
         if (agreed > commit && termAt(agreed) == term) {
             commit = agreed;
             apply();
