An answer counts only with the id that was sent, refusals too

Cause: 421 and X-Not-Executed were believed before the id was compared, and an answer without an id passed. A surplus refusal in the spot of the next answer made a mutating request that runs look as if it never had. And the connection of a foreign answer went back to the pool one turn after it was forgotten there. Tests: a surplus refusal, a foreign 421, an unnamed answer, and a late extra answer on a kept connection.

--- a/src/main/java/bramblespool/transport/Upstream.java
+++ b/src/main/java/bramblespool/transport/Upstream.java
@@ -191,14 +191,24 @@
                 if (over) {
                     return;
                 }
-                if (body.whole()) {
-                    over = true;
-                    release(reusable);
+                boolean whole = body.whole();
+                over = whole;
+                try {
+                    receiver.answer(new Answer(code, headers, body));
+                } finally {
+                    if (whole) {
+                        release(reusable);
+                    }
                 }
-                receiver.answer(new Answer(code, headers, body));
             }, e -> fail(Reach.SENT, "answer broken off: " + e.getMessage()));
         }
 
+        /** The answer was not to this request: whatever comes next on this connection is not to be trusted either. */
+        public void spoil() {
+            reusable = false;
+            finished(false);
+        }
+
         /** To be called when the rest of a streamed answer has been passed on whole, or has failed. */
         public void finished(boolean whole) {
             if (!over) {
--- a/src/test/java/bramblespool/SocketTest.java
+++ b/src/test/java/bramblespool/SocketTest.java
@@ -129,6 +129,7 @@
     /** Serves requests without bodies, or with bodies of a told length, in the manner that the path names. */
     private static void answer(Socket s) {
         try (s) {
+            String last = "";
             while (true) {
                 String head = head(s.getInputStream());
                 if (head.isEmpty()) {
@@ -146,10 +147,15 @@
                         : head.contains("/other") ? good.replace("Attempt-Id: ", "Attempt-Id: not-")
                         : head.contains("/endless") ? "HTTP/1.1 200 OK\r\n" + id + "\r\ngood"
                         : head.contains("/long") ? "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 300000\r\n\r\n" + "x".repeat(200000)
-                        : head.contains("/shed") ? "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" : good;
+                        : head.contains("/shed") ? "HTTP/1.1 503 No\r\n" + id + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                        : head.contains("/surplus") ? "HTTP/1.1 503 No\r\nX-Attempt-Id: old\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                        : head.contains("/misled") ? "HTTP/1.1 421 No\r\nX-Attempt-Id: old\r\nContent-Length: 0\r\n\r\n"
+                        : head.contains("/nameless") ? good.replace("X-Attempt-Id", "X-Other")
+                        : last.isEmpty() ? good : "HTTP/1.1 200 OK\r\n" + last + "Content-Length: 4\r\n\r\nlate" + good;
+                last = head.contains("/stutter") ? id : "";
                 s.getOutputStream().write(reply.getBytes(StandardCharsets.ISO_8859_1));
                 s.getOutputStream().flush();
-                if (!reply.equals(good) && !head.contains("/extra") && !head.contains("/shed") && !head.contains("/other")) {
+                if (head.contains("/short") || head.contains("/garbage") || head.contains("/endless") || head.contains("/long")) {
                     return;
                 }
             }
@@ -208,7 +214,7 @@
 
     @ParameterizedTest
     @CsvSource({"/a/ok,200", "/a/extra,200", "/b/ok,404", "/a/short,502", "/a/garbage,502", "/a/other,502", "/a/endless,502",
-        "/a/shed,503"})
+        "/a/shed,503", "/a/surplus,502", "/a/misled,502", "/a/nameless,502"})
     void everyKindOfAnswer(String path, int status) throws IOException {
         String got = request(path, "");
         assertTrue(got.startsWith("HTTP/1.1 " + status + " "), got);
@@ -222,6 +228,16 @@
         assertTrue(request("/a/after", "").endsWith("good"), "the next request is answered as its own");
     }
 
+    /** The server answers once more than it was asked, in the spot where the next answer is due. */
+    @Test
+    void aLateExtraAnswerReachesNobody() throws IOException {
+        assertTrue(request("/a/stutter", "").endsWith("good"));
+        String next = request("/a/victim", "");
+        assertFalse(next.contains("late"), next);
+        assertTrue(next.startsWith("HTTP/1.1 502 "), "it may have run, and its own answer is lost: " + next);
+        assertTrue(request("/a/after", "").endsWith("good"), "nothing more is sent on that connection");
+    }
+
     @Test
     void aLongAnswerThatBreaksOffNeverLooksWhole() throws IOException {
         String got = request("/a/long", "");
