A reader of the list that comes straight back is heard; sessions keep one number each

Seen by users: after a control process came straight back, nobody noticed a leaving. It counts its assignments from 1 under the same fence, and hems took the new first for the old first and confirmed it unread. An assignment now names the reader's life; a hem answers which turn stands, and the reader counts on from there. Each session has its own number now.

--- a/src/main/java/bramblespool/coordination/Commit.java
+++ b/src/main/java/bramblespool/coordination/Commit.java
@@ -5,6 +5,7 @@
 import bramblespool.state.Ledger;
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
+import bramblespool.state.Packed;
 import bramblespool.transport.Clock;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -27,6 +28,13 @@
 
     /** Milliseconds, ratios to {@code ack} and {@code apply}. */
     public record Times(long distribute, long phase, long latency) {
+        /** A third of what the operator allows for each route: the document travels over narrow links, twice if need be. */
+        private static final long EACH_ROUTE = 1;
+
+        long distribute(Config config) {
+            return distribute + config.routeCount * EACH_ROUTE;
+        }
+
         public static Times of(long ack, long apply) {
             return new Times(ack * 6 / 100, apply * 8 / 100, apply / 50);
         }
@@ -120,8 +128,7 @@
                 return;
             }
             JsonObject whole = change.whole(currentConfig());
-            String document = whole.toString();
-            config = Config.compile(whole, document);
+            config = Config.compile(whole, Packed.pack(whole.toString()));
         } catch (Config.Invalid e) {
             refuse(o, Orders.Outcome.invalid(e.getMessage()));
             return;
@@ -133,7 +140,7 @@
         busy = true;
         long mine = lead;
         ObjectNode e = Ledger.entry("candidate").put("epoch", config.epoch).put("base", change.base())
-                .put("digest", change.digest()).put("doc", config.document);
+                .put("digest", change.digest()).put("doc", config.packed);
         quorum.propose(e, ok -> {
             if (!ok || mine != lead) {
                 o.done.accept(Orders.Outcome.unclear("the lead was lost"));
@@ -152,11 +159,11 @@
 
     private Config currentConfig() throws Config.Invalid {
         Ledger.Version v = ledger.current();
-        if (v.document() == null) {
+        if (v.packed() == null) {
             return null;
         }
         if (compiled == null || compiled.epoch != v.epoch()) {
-            compiled = Config.compile(v.document());
+            compiled = Config.unpack(v.packed());
         }
         return compiled;
     }
@@ -168,8 +175,9 @@
     /** Phase 1, TAG DISTRIBUTION: the candidate and its tags. A missing acknowledgement aborts this try. */
     private void distribute(Order o, Config config, Set<String> wefts, int triesLeft) {
         long mine = lead;
-        ObjectNode m = message(1, ledger.current().epoch(), config.epoch).put("doc", config.document);
-        cells.phase(m, wefts, times.distribute, acks -> {
+        long within = times.distribute(config);
+        ObjectNode m = message(1, ledger.current().epoch(), config.epoch).put("open", within * triesLeft).put("doc", config.packed);
+        cells.phase(m, wefts, within, acks -> {
             if (mine != lead) {
                 o.done.accept(Orders.Outcome.unclear("the lead was lost"));
                 return;
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -431,8 +431,8 @@
 
     private ObjectNode doc(long epoch) {
         for (Ledger.Version v : List.of(ledger.current(), ledger.previous())) {
-            if (v.epoch() == epoch && v.document() != null) {
-                return JsonNodeFactory.instance.objectNode().put("doc", v.document());
+            if (v.epoch() == epoch && v.packed() != null) {
+                return JsonNodeFactory.instance.objectNode().put("doc", v.packed());
             }
         }
         return null;
--- a/src/main/java/bramblespool/coordination/Roster.java
+++ b/src/main/java/bramblespool/coordination/Roster.java
@@ -53,6 +53,8 @@
     }
 
     private final String zone;
+    /** Tells the lives of one helm apart. */
+    private final String self;
     private final Clock clock;
     private final Platform platform;
     private final Wire wire;
@@ -73,6 +75,7 @@
     Roster(String zone, Clock clock, Platform platform, Wire wire, Supplier<List<Hem>> hems, long periodMs, long callMs,
             Log log) {
         this.zone = zone;
+        this.self = Long.toHexString((long) (clock.chance() * Long.MAX_VALUE));
         this.clock = clock;
         this.platform = platform;
         this.wire = wire;
@@ -249,7 +252,8 @@
         t.busy = true;
         long made = t.made;
         long inFence = fence;
-        ObjectNode m = JsonNodeFactory.instance.objectNode().put("zone", zone).put("fence", fence).put("n", made);
+        ObjectNode m = JsonNodeFactory.instance.objectNode().put("zone", zone).put("fence", fence).put("n", made)
+                .put("reader", self);
         ArrayNode servers = m.putArray("servers");
         Set<String> ids = new HashSet<>();
         for (Listing.Entry e : t.servers) {
@@ -259,9 +263,16 @@
         t.may.addAll(ids);
         wire.call(h.peer, "assign", m, callMs, a -> {
             t.busy = false;
-            if (a != null && a.path("ok").asBoolean() && fence == inFence) {
+            if (a == null || fence != inFence) {
+                return;
+            }
+            if (a.path("ok").asBoolean()) {
                 t.confirmed = made;
                 t.may = ids;
+            } else if (a.path("fence").asLong() == fence) {
+                // This helm told it more in an earlier life, under the same fence: its numbers go on from there.
+                n = Math.max(n, a.path("n").asLong());
+                t.made = ++n;
             }
         });
     }
--- a/src/main/java/bramblespool/coordination/Shadow.java
+++ b/src/main/java/bramblespool/coordination/Shadow.java
@@ -103,8 +103,8 @@
         return null;
     }
 
-    /** Phase 1. Answers null when recorded, or why not. */
-    public String distribute(long old, long fresh, Config candidate) {
+    /** Phase 1, which may stay open so long for others. Answers null when recorded, or why not. */
+    public String distribute(long old, long fresh, Config candidate, long openMs) {
         if (epoch() == fresh) {
             return null;
         }
@@ -117,7 +117,7 @@
         tagging = false;
         swapped = false;
         cancel();
-        timeout = clock.after(revertMs, this::revert);
+        timeout = clock.after(revertMs + openMs, this::revert);
         return null;
     }
 
--- a/src/main/java/bramblespool/coordination/Steward.java
+++ b/src/main/java/bramblespool/coordination/Steward.java
@@ -14,8 +14,11 @@
 
 /** The servers a hem is steward of, zone by zone as the readers of the platform's list assign them. */
 final class Steward {
-    /** What the reader of a zone's list last assigned; a reader's fence outranks the number within it. */
-    private record Turn(long fence, long n) {
+    /**
+     * What the reader of a zone's list last assigned; a reader's fence outranks the number within it. One that was
+     * started again may hold the same fence and count from the beginning: {@code reader} tells its lives apart.
+     */
+    private record Turn(long fence, long n, String reader) {
         boolean olderThan(long otherFence, long otherN) {
             return fence < otherFence || fence == otherFence && n < otherN;
         }
@@ -44,15 +47,16 @@
         String zone = m.path("zone").asText();
         long fence = m.path("fence").asLong();
         long n = m.path("n").asLong();
+        String reader = m.path("reader").asText();
         Turn last = turns.get(zone);
         ObjectNode out = JsonNodeFactory.instance.objectNode();
         if (last != null && !last.olderThan(fence, n)) {
             if (last.fence > fence) {
                 log.once(Event.ASSIGNMENT_REFUSED, zone + fence, "zone", zone, "fence", fence, "stands", last.fence);
             }
-            return out.put("ok", last.fence == fence && last.n == n);
+            return out.put("ok", last.equals(new Turn(fence, n, reader))).put("fence", last.fence).put("n", last.n);
         }
-        turns.put(zone, new Turn(fence, n));
+        turns.put(zone, new Turn(fence, n, reader));
         Map<String, Gate> mine = byZone.computeIfAbsent(zone, z -> new HashMap<>());
         taking = true;
         told = false;
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -26,6 +26,8 @@
     private static final int FANOUT = 2;
     /** Once in so many rounds news is compared with anybody, not with a near peer. */
     private static final int FAR = 8;
+    /** How many tries at fetching a document fit into {@code apply}: it may be large and the link narrow. */
+    private static final int FETCHES = 3;
     /** Ratio to {@code drain} of the time for which news heard is gathered before it is passed on. */
     private static final int GATHER = 100;
     /** Ratios to {@code quiet}. */
@@ -235,7 +237,7 @@
             return;
         }
         String to = helm;
-        wire.call(to, "session", sessionMessage(false), callMs, a -> {
+        wire.call(to, "session", sessionMessage(session, false), callMs, a -> {
             if (!to.equals(helm)) {
                 return;
             }
@@ -262,9 +264,9 @@
         });
     }
 
-    private ObjectNode sessionMessage(boolean end) {
+    private ObjectNode sessionMessage(long number, boolean end) {
         return JsonNodeFactory.instance.objectNode().put("node", settings.node()).put("peer", settings.peer())
-                .put("life", news.life()).put("n", session).put("hash", news.hash()).put("end", end);
+                .put("life", news.life()).put("n", number).put("hash", news.hash()).put("end", end);
     }
 
     private void renewed(JsonNode a) {
@@ -283,12 +285,21 @@
         }
     }
 
+    /** The session here goes on under its own number until the one at home stands. */
     private void tryHome(String home) {
-        session++;
-        wire.call(home, "session", sessionMessage(false), callMs, a -> {
+        long number = session + 1;
+        String from = helm;
+        wire.call(home, "session", sessionMessage(number, false), callMs, a -> {
+            if (!from.equals(helm) || session >= number) {
+                return;
+            }
             if (a != null && a.path("ok").asBoolean()) {
+                session = number;
                 helm = home;
                 renewed(a);
+            } else {
+                // It may stand there all the same, and lapse: the session here must outrank that.
+                session = number + 1;
             }
         });
     }
@@ -354,10 +365,11 @@
             fetching = false;
             return;
         }
-        wire.call(from.get(at), "doc", JsonNodeFactory.instance.objectNode().put("epoch", epoch), callMs, a -> {
+        wire.call(from.get(at), "doc", JsonNodeFactory.instance.objectNode().put("epoch", epoch),
+                settings.bounds().apply() / FETCHES, a -> {
             if (a != null && a.path("doc").isTextual()) {
                 try {
-                    shadow.adopt(Config.compile(a.path("doc").asText()), marked);
+                    shadow.adopt(Config.unpack(a.path("doc").asText()), marked);
                     fetching = false;
                     catchUp();
                     return;
@@ -426,7 +438,7 @@
 
     private ObjectNode doc(long epoch) {
         Config c = shadow.real();
-        return c == null || c.epoch != epoch ? null : JsonNodeFactory.instance.objectNode().put("doc", c.document);
+        return c == null || c.epoch != epoch ? null : JsonNodeFactory.instance.objectNode().put("doc", c.packed);
     }
 
     private ObjectNode phase(JsonNode m) {
@@ -439,8 +451,8 @@
             }
             case 1 -> {
                 try {
-                    Config candidate = Config.compile(m.path("doc").asText());
-                    String no = shadow.distribute(m.path("old").asLong(), fresh, candidate);
+                    Config candidate = Config.unpack(m.path("doc").asText());
+                    String no = shadow.distribute(m.path("old").asLong(), fresh, candidate, m.path("open").asLong());
                     if (no != null) {
                         behind();
                         return out.put("ok", false).put("why", no);
@@ -490,7 +502,7 @@
         gone = true;
         tellSelf();
         if (helm != null) {
-            wire.call(helm, "session", sessionMessage(true), callMs, a -> { });
+            wire.call(helm, "session", sessionMessage(session, true), callMs, a -> { });
         }
     }
 }
--- a/src/main/java/bramblespool/role/Helm.java
+++ b/src/main/java/bramblespool/role/Helm.java
@@ -4,8 +4,10 @@
 import bramblespool.protocol.Beat;
 import bramblespool.protocol.Orders;
 import bramblespool.state.Config;
+import bramblespool.state.Ledger;
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
+import bramblespool.state.Packed;
 import bramblespool.state.Settings;
 import bramblespool.state.SqliteVault;
 import bramblespool.transport.HttpPlatform;
@@ -99,10 +101,10 @@
             core.read(v -> {
                 if (v == null) {
                     refuse(x, "no quorum");
-                } else if (v.document() == null) {
+                } else if (v.packed() == null) {
                     Exchanges.json(x, 404, error("there is no configuration yet"));
                 } else {
-                    Exchanges.json(x, 200, v.document());
+                    readBack(x, v);
                 }
             });
         } else if (path.startsWith(EVACUATION)) {
@@ -124,6 +126,14 @@
         }
     }
 
+    private void readBack(HttpServerExchange x, Ledger.Version v) {
+        try {
+            Exchanges.json(x, 200, Packed.unpack(v.packed()));
+        } catch (Config.Invalid e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private void change(HttpServerExchange x, boolean amends, byte[] body) {
         Orders.Change change;
         try {
--- a/src/main/java/bramblespool/state/Config.java
+++ b/src/main/java/bramblespool/state/Config.java
@@ -7,6 +7,7 @@
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -53,38 +54,52 @@
     private static final String SERVICES = "serviceTable";
 
     public final long epoch;
-    public final String document;
+    /** The document as it was sent, packed. */
+    public final String packed;
     public final Map<String, Service> services;
     public final Limits limits;
     public final int routeCount;
-    private final Map<String, Route[]> byHost;
+    private final Map<String, Places> byHost;
 
-    private Config(long epoch, String document, Map<String, Service> services, Limits limits,
+    /** The routes of one host by their prefixes. */
+    private record Places(Map<String, Route> routes, int longest) {
+    }
+
+    private Config(long epoch, String packed, Map<String, Service> services, Limits limits,
             Map<String, List<Route>> hosts) {
         this.epoch = epoch;
-        this.document = document;
+        this.packed = packed;
         this.services = services;
         this.limits = limits;
-        Map<String, Route[]> sorted = new LinkedHashMap<>();
+        Map<String, Places> places = new HashMap<>();
         int n = 0;
         for (Map.Entry<String, List<Route>> e : hosts.entrySet()) {
-            e.getValue().sort((a, b) -> b.prefix.length() - a.prefix.length());
-            sorted.put(e.getKey(), e.getValue().toArray(new Route[0]));
-            n += e.getValue().size();
+            Map<String, Route> of = new HashMap<>();
+            int longest = 0;
+            for (Route r : e.getValue()) {
+                of.put(r.prefix, r);
+                longest = Math.max(longest, r.prefix.length());
+            }
+            places.put(e.getKey(), new Places(of, longest));
+            n += of.size();
         }
-        this.byHost = sorted;
+        this.byHost = places;
         this.routeCount = n;
     }
 
-    /** The longest prefix on the exact bytes of the path, or null. */
+    /** The longest prefix on the exact bytes of the path, or null. Every prefix ends with a slash. */
     public Route route(String host, String path) {
-        Route[] routes = byHost.get(hostKey(host));
-        if (routes != null) {
-            for (Route r : routes) {
-                if (path.startsWith(r.prefix)) {
-                    return r;
-                }
+        Places places = byHost.get(hostKey(host));
+        if (places == null) {
+            return null;
+        }
+        int at = path.lastIndexOf('/', Math.min(path.length(), places.longest) - 1);
+        while (at >= 0) {
+            Route r = places.routes.get(path.substring(0, at + 1));
+            if (r != null) {
+                return r;
             }
+            at = path.lastIndexOf('/', at - 1);
         }
         return null;
     }
@@ -111,10 +126,14 @@
     }
 
     public static Config compile(String document) throws Invalid {
-        return compile(tree(document), document);
+        return compile(tree(document), Packed.pack(document));
+    }
+
+    public static Config unpack(String packed) throws Invalid {
+        return compile(tree(Packed.unpack(packed)), packed);
     }
 
-    public static Config compile(JsonObject tree, String document) throws Invalid {
+    public static Config compile(JsonObject tree, String packed) throws Invalid {
         List<String> faults = new ArrayList<>();
         Fields f = new Fields(tree, "", faults);
         long epoch = f.whole("epoch", null);
@@ -150,7 +169,7 @@
         if (!faults.isEmpty()) {
             throw new Invalid(faults);
         }
-        return new Config(epoch, document, services, limits, hosts);
+        return new Config(epoch, packed, services, limits, hosts);
     }
 
     private static Route route(Fields row, Map<String, Service> services) {
@@ -232,7 +251,7 @@
             } else {
                 continue;
             }
-            hash += r.toString().hashCode();
+            hash += r.hashCode();
         }
         int removed = 0;
         for (Route o : theirs.values()) {
@@ -246,8 +265,8 @@
 
     private Map<String, Route> named() {
         Map<String, Route> out = new LinkedHashMap<>();
-        for (Route[] routes : byHost.values()) {
-            for (Route r : routes) {
+        for (Places p : byHost.values()) {
+            for (Route r : p.routes.values()) {
                 out.put(r.name, r);
             }
         }
@@ -257,7 +276,7 @@
     /** The whole document that an amendment makes of this one. */
     public JsonObject amend(JsonObject change) throws Invalid {
         List<String> faults = new ArrayList<>();
-        JsonObject whole = tree(document);
+        JsonObject whole = tree(Packed.unpack(packed));
         JsonObject upsert = part(change, "upsert", faults);
         JsonObject remove = part(change, "remove", faults);
         Set<String> tables = new LinkedHashSet<>(upsert.keySet());
--- a/src/main/java/bramblespool/state/Ledger.java
+++ b/src/main/java/bramblespool/state/Ledger.java
@@ -13,7 +13,8 @@
 
     public enum Phase { NONE, DECIDED, SWAPPED, MARKED }
 
-    public record Version(long epoch, String document, String digest) {
+    /** {@code packed}: the document as it was sent, or null where there is none yet. */
+    public record Version(long epoch, String packed, String digest) {
         static final Version NONE = new Version(0, null, "");
     }
 
@@ -140,7 +141,7 @@
     }
 
     private static void put(ObjectNode n, Version v) {
-        n.put("epoch", v.epoch).put("doc", v.document).put("digest", v.digest);
+        n.put("epoch", v.epoch).put("doc", v.packed).put("digest", v.digest);
     }
 
     private static Version version(JsonNode n) {
--- a/src/test/java/bramblespool/FormsTest.java
+++ b/src/test/java/bramblespool/FormsTest.java
@@ -9,6 +9,7 @@
 import bramblespool.sim.SimMesh;
 import bramblespool.state.Config;
 import bramblespool.state.Log;
+import bramblespool.state.Packed;
 import bramblespool.state.Settings;
 import bramblespool.state.SqliteVault;
 import bramblespool.state.Vault;
@@ -92,7 +93,7 @@
         assertEquals(7, next.epoch);
         assertNull(next.route("x.example", "/p/1"));
         assertEquals("n", next.route("x.example", "/n/1").name());
-        assertTrue(next.document.contains("\"ours\":{\"x\":1}"), "unknown fields are kept");
+        assertTrue(Packed.unpack(next.packed).contains("\"ours\":{\"x\":1}"), "unknown fields are kept");
         assertNotEquals(c.difference(null), next.difference(c));
         assertTrue(next.difference(c).startsWith("+1 ~0 -1 "));
     }
--- a/src/test/java/bramblespool/ShadowTest.java
+++ b/src/test/java/bramblespool/ShadowTest.java
@@ -41,7 +41,7 @@
     @Test
     void theFourPhases() {
         assertEquals("0", shadow.mark());
-        assertNull(shadow.distribute(5, 7, config(7)));
+        assertNull(shadow.distribute(5, 7, config(7), 0));
         assertEquals("0", shadow.mark(), "tags are known, not used");
         assertEquals(7, named("1"));
         assertTrue(shadow.resolve("1").test(), "a marked test call");
@@ -60,18 +60,18 @@
 
     @Test
     void aTaggedCallActsAsTagPacket() {
-        shadow.distribute(5, 7, config(7));
+        shadow.distribute(5, 7, config(7), 0);
         assertEquals(5, named("t5"));
         assertEquals("t5", shadow.mark());
     }
 
     @Test
     void withoutTagPacketItRevertsAndAfterItDoesNot() {
-        shadow.distribute(5, 7, config(7));
+        shadow.distribute(5, 7, config(7), 0);
         world.run(1500);
         assertTrue(!shadow.tagPacket(7), "the tags are forgotten");
         assertEquals(5, shadow.epoch());
-        shadow.distribute(5, 8, config(8));
+        shadow.distribute(5, 8, config(8), 0);
         shadow.tagPacket(8);
         world.run(1500);
         assertTrue(shadow.swap(8), "past TAG PACKET it waits for what comes");
@@ -79,7 +79,7 @@
 
     @Test
     void anAbortCannotUndoWhatWasSwapped() {
-        shadow.distribute(5, 7, config(7));
+        shadow.distribute(5, 7, config(7), 0);
         shadow.tagPacket(7);
         shadow.swap(7);
         shadow.revert();
@@ -94,6 +94,6 @@
         assertEquals(-1, named("tx"));
         assertEquals(-1, named("2"));
         assertEquals(-1, named(null));
-        assertEquals("behind", shadow.distribute(4, 7, config(7)));
+        assertEquals("behind", shadow.distribute(4, 7, config(7), 0));
     }
 }
--- a/src/test/java/bramblespool/sim/SimMesh.java
+++ b/src/test/java/bramblespool/sim/SimMesh.java
@@ -20,6 +20,9 @@
     public final Map<String, HelmCore> helms = new LinkedHashMap<>();
     public final Map<String, WeftCore> wefts = new LinkedHashMap<>();
     private final List<String> seeds = new ArrayList<>();
+    public final Map<String, WeftCore> hems = new LinkedHashMap<>();
+    private final int losses;
+    private final SimPlatform platform;
     private int incarnations;
     private int beats;
     public static final String BOUNDS = """
@@ -37,18 +40,33 @@
     public static final String[] ZONES = {"a", "b", "c"};
 
     public SimMesh(long seed, int helmCount, int weftCount) {
+        this(seed, helmCount, weftCount, 1, null);
+    }
+
+    /** {@code losses}: the disks that may be lost at one time; {@code platform}: who keeps the list, or null for a mesh. */
+    public SimMesh(long seed, int helmCount, int sideCount, int losses, SimPlatform platform) {
         world = new SimWorld(seed);
+        this.losses = losses;
+        this.platform = platform;
         for (int i = 0; i < Math.min(3, helmCount); i++) {
             seeds.add("10.0.0." + (i + 1) + ":8000");
         }
         for (int i = 0; i < helmCount; i++) {
             startHelm(helmPeer(i), true);
         }
-        for (int i = 0; i < weftCount; i++) {
-            startWeft(weftPeer(i));
+        for (int i = 0; i < sideCount; i++) {
+            if (platform == null) {
+                startWeft(weftPeer(i));
+            } else {
+                startHem(hemPeer(i));
+            }
         }
     }
 
+    public static String hemPeer(int i) {
+        return "10.0.2." + (i + 1) + ":7000";
+    }
+
     public static String helmPeer(int i) {
         return "10.0.0." + (i + 1) + ":7000";
     }
@@ -57,9 +75,10 @@
         return "10.0.1." + (i + 1) + ":7000";
     }
 
-    public static Settings settings(String peer, List<String> seeds, boolean bootstrap) {
+    private Settings settings(String peer, List<String> seeds, boolean bootstrap) {
         String ip = peer.substring(0, peer.indexOf(':'));
         boolean helm = ip.startsWith("10.0.0.");
+        boolean hem = ip.startsWith("10.0.2.");
         int last = Integer.parseInt(ip.substring(ip.lastIndexOf('.') + 1));
         String text = """
                 node = "%s-%d"
@@ -72,16 +91,26 @@
                 dataDir = "/none"
                 appAddr = "%s:9000"
                 target = "desk"
+                discovery = "%s"
+                [platform]
+                address = "10.9.9.9:80"
+                [zones]
+                a = "r"
+                b = "r"
+                c = "r"
+                [faultBudget]
+                machines = %d
                 [listeners]
                 control = "%s:8000"
                 inbound = "%s:8001"
                 outbound = "%s:8002"
                 ready = "%s:8003"
+                front = "%s:8004"
                 [limits]
                 memoryMb = 0
-                %s                """.formatted(helm ? "helm" : "weft", last, helm ? "core" : "sidecar", ip, ZONES[(last - 1) % 3],
-                seeds.stream().map(s -> '"' + s + '"').reduce((a, b) -> a + "," + b).orElse(""), bootstrap, ip, ip, ip,
-                ip, ip, BOUNDS);
+                %s                """.formatted(helm ? "helm" : hem ? "hem" : "weft", last, helm ? "core" : hem ? "edge" : "sidecar", ip, ZONES[(last - 1) % 3],
+                seeds.stream().map(s -> '"' + s + '"').reduce((a, b) -> a + "," + b).orElse(""), bootstrap, ip,
+                platform == null ? "static" : "platform", losses, ip, ip, ip, ip, ip, BOUNDS);
         try {
             return Settings.parse(text, "simulated");
         } catch (Settings.Unfit e) {
@@ -92,7 +121,8 @@
     public void startHelm(String peer, boolean bootstrap) {
         SimWorld.Machine m = world.machine(peer);
         m.boot();
-        HelmCore h = new HelmCore(settings(peer, seeds, bootstrap), m.disk, "i" + ++incarnations, m, m, null, Log.silent());
+        HelmCore h = new HelmCore(settings(peer, seeds, bootstrap), m.disk, "i" + ++incarnations, m, m,
+                platform == null ? null : platform.seenBy(m), Log.silent());
         m.serve(h);
         helms.put(peer, h);
         h.start();
@@ -115,6 +145,20 @@
                 ++beats)));
     }
 
+    public void startHem(String peer) {
+        SimWorld.Machine m = world.machine(peer);
+        m.boot();
+        WeftCore w = new WeftCore(settings(peer, seeds, false), m, m, Log.silent());
+        m.serve(w);
+        hems.put(peer, w);
+        w.start();
+    }
+
+    public void killHem(String peer) {
+        world.machine(peer).kill(false);
+        hems.remove(peer);
+    }
+
     public void killWeft(String peer) {
         world.machine(peer).kill(false);
         wefts.remove(peer);
--- a/src/test/java/bramblespool/sim/SimWorld.java
+++ b/src/test/java/bramblespool/sim/SimWorld.java
@@ -37,6 +37,7 @@
     private final Set<String> cuts = new HashSet<>();
     public Runnable afterEach = () -> { };
     public long messages;
+    public long bytes;
 
     public SimWorld(long seed) {
         random = new Random(seed);
@@ -156,6 +157,7 @@
             };
             mine(timeoutMs, () -> once.accept(null));
             String wire = body.toString();
+            bytes += wire.length();
             int caller = life;
             at(1 + random.nextInt(3), () -> {
                 Machine to = machines.get(address);
