Retry slack leased in whole tries by a fenced duty; a server that fails a part gets less

Now up to 0.45 of the slack may be saved up as one whole try each, and 0.25 of it is leased, in whole tries, by the owner of the service's key, a duty under a fence; a new owner waits until nothing its predecessor granted can be left. The second: each gate follows the share of requests that its server fails, tells it in steps with its news, and callers and stewards count it as load. Health answers have no part in it. Forgotten by half in each drain. Tests hold the sum over 12 to 500 daemons to the rule. Not yet measured at full size.

--- a/src/main/java/bramblespool/coordination/Budget.java
+++ b/src/main/java/bramblespool/coordination/Budget.java
@@ -1,21 +1,33 @@
 package bramblespool.coordination;
 
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
 
 /**
- * What this weft may spend on further tries, per service. Each request earns a share of one; what is saved up is
- * capped by this weft's part of the slack, so that the sum over all wefts keeps the rule in every window without
- * a word between them.
+ * What this daemon may spend on further tries, per service. Each request earns a share of one; what is saved up is
+ * bounded so that the sum over all daemons keeps the rule in every window without a word between them. With so many
+ * daemons that a part of the slack is under one try, nothing is saved; whole tries are leased from its owner.
  */
 public final class Budget {
     /** The rest of the ratio and of the slack is left for the calls that repeated runs make in their turn. */
     private static final double RATIO_SHARE = 0.5;
     private static final double SLACK_SHARE = 0.3;
+    /** Up to this share of the slack may be saved up as one whole try each. */
+    private static final double SAVED_SHARE = 0.45;
+
+    private record Lease(int tries, long until) {
+    }
 
     private final double ratio;
     private final double slack;
-    private int wefts = 1;
+    private int sharers = 1;
     private final Object2DoubleOpenHashMap<String> saved = new Object2DoubleOpenHashMap<>();
+    private final Map<String, ArrayDeque<Lease>> leases = new HashMap<>();
+    private final Set<String> wanting = new LinkedHashSet<>();
 
     public Budget(double ratio, double slack) {
         this.ratio = ratio;
@@ -23,13 +35,14 @@
         saved.defaultReturnValue(-1);
     }
 
-    /** How many wefts share the slack. */
+    /** How many daemons share the slack. */
     public void sharers(int n) {
-        wefts = Math.max(wefts, n);
+        sharers = Math.max(sharers, n);
     }
 
     private double cap() {
-        return slack * SLACK_SHARE / wefts;
+        double part = slack / sharers;
+        return part * SAVED_SHARE < 1 ? 0 : Math.max(1, part * SLACK_SHARE);
     }
 
     private double held(String service) {
@@ -42,16 +55,51 @@
     }
 
     /** Whether there is a further try to take. */
-    public boolean holds(String service) {
-        return held(service) >= 1;
+    public boolean holds(String service, long now) {
+        if (held(service) >= 1 || leased(service, now) > 0) {
+            return true;
+        }
+        wanting.add(service);
+        return false;
     }
 
     /** Takes one further try if there is one. */
-    public boolean draw(String service) {
-        if (!holds(service)) {
+    public boolean draw(String service, long now) {
+        if (!holds(service, now)) {
             return false;
         }
-        saved.put(service, held(service) - 1);
+        if (held(service) >= 1) {
+            saved.put(service, held(service) - 1);
+        } else {
+            ArrayDeque<Lease> q = leases.get(service);
+            Lease l = q.poll();
+            if (l.tries > 1) {
+                q.push(new Lease(l.tries - 1, l.until));
+            }
+        }
         return true;
     }
+
+    private int leased(String service, long now) {
+        ArrayDeque<Lease> q = leases.get(service);
+        if (q == null) {
+            return 0;
+        }
+        q.removeIf(l -> l.until <= now);
+        return q.stream().mapToInt(Lease::tries).sum();
+    }
+
+    /** Tries leased from the owner of the service's slack, good until then. */
+    public void leased(String service, int tries, long until) {
+        if (tries > 0) {
+            leases.computeIfAbsent(service, s -> new ArrayDeque<>()).add(new Lease(tries, until));
+        }
+    }
+
+    /** The services that lacked a further try since this was last asked. */
+    public Set<String> wanting() {
+        Set<String> out = new LinkedHashSet<>(wanting);
+        wanting.clear();
+        return out;
+    }
 }
--- a/src/main/java/bramblespool/coordination/Duties.java
+++ b/src/main/java/bramblespool/coordination/Duties.java
@@ -5,18 +5,19 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /** Hands out the keyed duties as the leader: each key is held by a live helm, and changes hands with a higher fence. */
 final class Duties {
     private final Quorum quorum;
     private final Ledger ledger;
-    private final Collection<String> keys;
+    private final Supplier<Collection<String>> keys;
     private final Set<String> proposed = new HashSet<>();
 
-    Duties(Quorum quorum, Ledger ledger, Collection<String> keys) {
+    Duties(Quorum quorum, Ledger ledger, Supplier<Collection<String>> keys) {
         this.quorum = quorum;
         this.ledger = ledger;
-        this.keys = List.copyOf(keys);
+        this.keys = keys;
     }
 
     /** One round: what nobody alive holds is given away. */
@@ -26,7 +27,7 @@
             return;
         }
         List<String> alive = quorum.alive();
-        for (String key : keys) {
+        for (String key : keys.get()) {
             Ledger.Duty d = ledger.duties().get(key);
             if (d != null && alive.contains(d.holder()) || !proposed.add(key)) {
                 continue;
--- a/src/main/java/bramblespool/coordination/Fleet.java
+++ b/src/main/java/bramblespool/coordination/Fleet.java
@@ -44,6 +44,7 @@
         int capacity = 1;
         boolean open;
         long coldUntil;
+        double ill;
         int outstanding;
         int reported;
         long reportedAt;
@@ -59,6 +60,8 @@
     /** Below this share of its capacity a near server is taken before a far one. */
     private static final double NEAR_SHARE = 0.8;
     private static final double COLD_COST = 0.6;
+    /** What a server that fails everything costs more, in loads of itself: one that fails a part gets less, not nothing. */
+    static final double ILL_COST = 2;
 
     private final Clock clock;
     private final String self;
@@ -150,6 +153,7 @@
         d.servers = servers;
         d.capacity = Math.max(1, b.path("capacity").asInt());
         d.open = b.path("open").asBoolean();
+        d.ill = b.path("ill").asDouble();
         long cold = b.path("cold").asLong();
         d.coldUntil = cold > 0 ? clock.now() + cold : 0;
     }
@@ -231,7 +235,7 @@
         return p.suspectUntil > clock.now();
     }
 
-    private double cost(Door d, long now) {
+    private double load(Door d, long now) {
         double load = d.outstanding;
         if (now - d.reportedAt < REPORT_MS) {
             load = Math.max(load, d.reported);
@@ -239,6 +243,10 @@
         return load / d.capacity + (d.coldUntil > now ? COLD_COST : 0);
     }
 
+    private double cost(Door d, long now) {
+        return load(d, now) + d.ill * ILL_COST;
+    }
+
     /** A door of the service not tried yet, or null where there is none. */
     public Door choose(String service, Set<Door> tried) {
         List<Door> all = byTarget.get(service);
@@ -264,7 +272,7 @@
                 return d;
             }
             sound.add(d);
-            if (p.zone.equals(zone) && cost(d, now) < NEAR_SHARE) {
+            if (p.zone.equals(zone) && load(d, now) < NEAR_SHARE) {
                 near.add(d);
             }
         }
--- a/src/main/java/bramblespool/coordination/Gate.java
+++ b/src/main/java/bramblespool/coordination/Gate.java
@@ -88,6 +88,13 @@
             drainQueue();
         }
 
+        /** Tells how the server dealt with it. */
+        public void outcome(boolean good) {
+            if (server != null && server.equals(id)) {
+                feel(good);
+            }
+        }
+
         private void cancel() {
             if (late != null) {
                 late.cancel();
@@ -107,6 +114,10 @@
     /** Mean deviations above the mean within which a request is counted on to be done. */
     private static final double DEVIATIONS = 1.5;
     private static final long SECOND = 1000;
+    /** How much one outcome weighs in a server's illness. */
+    private static final double FEEL = 0.15;
+    /** Steps in which illness is told: one failure among many sound answers stays below the first. */
+    private static final int ILL_STEPS = 5;
     private static final double LEARN = 0.1;
     private static final double FIRST_GUESS_MS = 100;
     /** After so many beats' time without one the server may have gone cold unnoticed. */
@@ -143,6 +154,9 @@
     private final Object2DoubleOpenHashMap<String> work = new Object2DoubleOpenHashMap<>();
     private final Object2DoubleOpenHashMap<String> deviation = new Object2DoubleOpenHashMap<>();
     private double meanWork = FIRST_GUESS_MS;
+    private double ill;
+    private long illAt;
+    private int illTold;
     private Clock.Timer warmTimer;
 
     public Gate(Clock clock, Rules rules, String address, String target, Runnable changed, Log log) {
@@ -176,6 +190,7 @@
             }
             id = b.id();
             running = 0;
+            ill = 0;
             draining = false;
             arrivals.clear();
             log.say(Event.SERVER_NEW, "server", id, "capacity", b.capacity(), "cold", b.warmupLeft());
@@ -274,9 +289,34 @@
         refuseAll();
     }
 
+    /** The share of requests that it fails, of late; forgotten by half in each {@code drain} without one. */
+    private double illness() {
+        return ill * Math.pow(0.5, (double) (clock.now() - illAt) / rules.drain);
+    }
+
+    private void feel(boolean good) {
+        ill = illness() * (1 - FEEL) + (good ? 0 : FEEL);
+        illAt = clock.now();
+        tellIll();
+    }
+
+    private void tellIll() {
+        int step = (int) (illness() * ILL_STEPS);
+        if (step != illTold) {
+            illTold = step;
+            changed.run();
+        }
+    }
+
+    /** Illness as others are told, from 0 to 1. Health answers may lie and have no part in it. */
+    public double ill() {
+        return (double) illTold / ILL_STEPS;
+    }
+
     /** To be called now and then. */
     public void check() {
         long now = clock.now();
+        tellIll();
         if (id != null && !down && rules.beats() && now - lastBeat > rules.beat * SILENT_BEATS) {
             gone(Event.SERVER_SILENT);
         } else if (down && !rules.beats() && now - downSince > rules.drain / 4) {
@@ -367,7 +407,8 @@
         if (open() != other.open()) {
             return open();
         }
-        return (load() + 1.0) / capacity < (other.load() + 1.0) / other.capacity;
+        return (load() + 1.0) / capacity + ill() * Fleet.ILL_COST
+                < (other.load() + 1.0) / other.capacity + other.ill() * Fleet.ILL_COST;
     }
 
     // ---- requests
--- a/src/main/java/bramblespool/coordination/Gates.java
+++ b/src/main/java/bramblespool/coordination/Gates.java
@@ -3,6 +3,7 @@
 import bramblespool.state.Config;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -104,6 +105,7 @@
             boolean open = l.stream().anyMatch(Gate::open);
             int capacity = 0;
             long cold = Long.MAX_VALUE;
+            double ill = 1;
             StringBuilder ids = new StringBuilder();
             for (Gate g : l) {
                 if (g.id() == null) {
@@ -113,10 +115,14 @@
                 if (g.open() || !open) {
                     capacity += g.capacity();
                     cold = Math.min(cold, g.coldLeft());
+                    ill = Math.min(ill, g.ill());
                 }
             }
-            doors.addObject().put("target", target).put("servers", ids.toString()).put("capacity", capacity)
+            ObjectNode door = doors.addObject().put("target", target).put("servers", ids.toString()).put("capacity", capacity)
                     .put("open", open && !gone).put("cold", cold == Long.MAX_VALUE ? 0 : cold);
+            if (ill > 0 && open) {
+                door.put("ill", ill);
+            }
         });
         return doors;
     }
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -37,6 +37,9 @@
     private static final int ROUNDS = 4;
     /** Key of the duty of reading a zone's list. */
     private static final String LIST = "list/";
+    /** Key of the duty of leasing out a service's retry slack. */
+    private static final String SLACK = "slack/";
+    private static final int MOST_ASKED = 1000;
     /** Renewals missed before a session is closed. */
     private static final double CLOSES = 2.6;
 
@@ -61,6 +64,9 @@
     private final Map<String, Long> published = new HashMap<>();
     private final long callMs;
     private final Duties duties;
+    private final Slack slack;
+    /** Services whose slack somebody has asked for; only these need an owner. */
+    private final Set<String> asked = new HashSet<>();
     /** The zones' lists, where the platform keeps them; each is read by whoever holds that duty. */
     private final Map<String, Roster> rosters = new TreeMap<>();
     private boolean gone;
@@ -111,7 +117,8 @@
                 rosters.put(zone, new Roster(zone, clock, platform, wire, this::hems, b.drain() / READS, callMs, log));
             }
         }
-        this.duties = new Duties(quorum, ledger, rosters.keySet().stream().map(z -> LIST + z).toList());
+        this.slack = new Slack(clock, b.retrySlack(), b.retryWindow());
+        this.duties = new Duties(quorum, ledger, this::keys);
     }
 
     public void start() {
@@ -123,8 +130,32 @@
             quorum.join(helms());
         });
         clock.every(renew, news::mend);
-        if (!rosters.isEmpty()) {
-            clock.every(renew / ROUNDS, this::dutyRound);
+        clock.every(renew / ROUNDS, this::dutyRound);
+    }
+
+    private List<String> keys() {
+        List<String> out = new ArrayList<>();
+        rosters.keySet().forEach(z -> out.add(LIST + z));
+        asked.forEach(s -> out.add(SLACK + s));
+        return out;
+    }
+
+    /** Leases tries of a service's slack: as its owner, or by asking the owner, or the leader to name one. */
+    private void lease(JsonNode m, Consumer<ObjectNode> answer) {
+        String service = m.path("service").asText();
+        Ledger.Duty d = ledger.duties().get(SLACK + service);
+        String owner = d == null ? quorum.leaderId() == null ? null : Quorum.addressOf(quorum.leaderId()) : d.holder();
+        if (settings.peer().equals(owner)) {
+            if (d == null && asked.size() < MOST_ASKED) {
+                asked.add(service);
+            }
+            answer.accept(JsonNodeFactory.instance.objectNode().put("life", slack.lifeMs())
+                    .put("tries", d == null || !quorum.inTouch() ? 0 : slack.grant(service, d.fence())));
+        } else if (owner == null || m.path("passed").asBoolean()) {
+            answer.accept(null);
+        } else {
+            wire.call(owner, "lease", JsonNodeFactory.instance.objectNode().put("service", service).put("passed", true),
+                    callMs / 2, a -> answer.accept(a instanceof ObjectNode o ? o : null));
         }
     }
 
@@ -418,6 +449,7 @@
         }
         switch (kind) {
             case "session" -> answer.accept(session(m));
+            case "lease" -> lease(m, answer);
             case "cell" -> cell(m, answer);
             case "doc" -> answer.accept(doc(m.path("epoch").asLong()));
             case "ping" -> answer.accept(JsonNodeFactory.instance.objectNode());
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -115,6 +115,7 @@
             gates.check();
             renew();
             catchUp();
+            budget.wanting().forEach(this::lease);
         });
         clock.every(renew * 2, news::mend);
     }
@@ -304,6 +305,19 @@
         });
     }
 
+    /** Asks for tries of a service's slack, for those to come. */
+    private void lease(String service) {
+        if (!sessionOpen) {
+            return;
+        }
+        wire.call(helm, "lease", JsonNodeFactory.instance.objectNode().put("service", service), callMs, a -> {
+            if (a != null) {
+                // Counted from when it was asked for: the owner counts from no earlier.
+                budget.leased(service, a.path("tries").asInt(), clock.now() + a.path("life").asLong() - callMs);
+            }
+        });
+    }
+
     // ---- versions
 
     private void versionChanged() {
--- a/src/main/java/bramblespool/role/Courier.java
+++ b/src/main/java/bramblespool/role/Courier.java
@@ -134,6 +134,11 @@
             }
             over = true;
             patience.cancel();
+            if (r.verdict() == Verdict.MAY_HAVE_RUN) {
+                ticket.outcome(false);
+            } else if (r.verdict() == Verdict.ANSWERED && r.answer().code() != 504) {
+                ticket.outcome(r.answer().code() < 500);
+            }
             if (ending == null) {
                 ticket.done(worked);
             }
--- a/src/main/java/bramblespool/role/Outbound.java
+++ b/src/main/java/bramblespool/role/Outbound.java
@@ -230,7 +230,7 @@
             log.say(Event.FAILED_CALL, "route", route.name(), "to", send.door.at.node, "verdict", r.verdict(), "why", r.why());
             boolean again = parcel.body().whole() && (r.verdict() == Verdict.NEVER_RAN || route.idempotent())
                     && deadline - clock.now() > LEAST_MS
-                    && (!r.arrived() || arrivals < route.maxTries() && budget.draw(service));
+                    && (!r.arrived() || arrivals < route.maxTries() && budget.draw(service, clock.now()));
             if (again) {
                 next();
                 return;
@@ -302,7 +302,7 @@
             /** Whether a request that may be running at a silent peer is better sent to another as well. */
             private boolean mayRepeat() {
                 return route.idempotent() && parcel.body().whole() && arrivals + 1 < route.maxTries()
-                        && shown.size() < GATES && budget.holds(service) && deadline - clock.now() > LEAST_MS;
+                        && shown.size() < GATES && budget.holds(service, clock.now()) && deadline - clock.now() > LEAST_MS;
             }
 
             private void finish(Courier.Result r, Courier.Ending ending) {
--- a/src/test/java/bramblespool/GateTest.java
+++ b/src/test/java/bramblespool/GateTest.java
@@ -8,14 +8,18 @@
 
 import bramblespool.coordination.Budget;
 import bramblespool.coordination.Gate;
+import bramblespool.coordination.Slack;
 import bramblespool.protocol.Beat;
 import bramblespool.sim.SimWorld;
 import bramblespool.state.Log;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** The gate in front of one server, on a simulated clock. */
 class GateTest {
@@ -173,25 +177,58 @@
         assertEquals(List.of("first", "second", "third"), List.copyOf(order));
     }
 
-    @Test
-    void theBudgetsOfAllWeftsTogetherKeepTheRule() {
+    @ParameterizedTest
+    @CsvSource({"12,64", "68,176", "91,222", "500,300"})
+    void theBudgetsOfAllDaemonsTogetherKeepTheRule(int daemons, double slack) {
         double ratio = 0.2;
-        double slack = 64;
-        int wefts = 12;
         long drawn = 0;
         long requests = 0;
-        for (int w = 0; w < wefts; w++) {
+        Slack owner = new Slack(machine, slack, 10_000);
+        owner.grant("desk", 7);
+        world.run(13_000);
+        long granted = 0;
+        for (int w = 0; w < daemons; w++) {
             Budget b = new Budget(ratio, slack);
-            b.sharers(wefts);
-            for (int i = 0; i < 200; i++) {
+            b.sharers(daemons);
+            for (int i = 0; i < 50; i++) {
                 b.request("desk");
                 requests++;
-                while (b.draw("desk")) {
+                while (b.draw("desk", world.now())) {
                     drawn++;
                 }
             }
+            assertEquals(Set.of("desk"), b.wanting(), "whoever lacks a try asks for one");
+            int n = owner.grant("desk", 7);
+            granted += n;
+            b.leased("desk", n, world.now() + owner.lifeMs());
+            while (b.draw("desk", world.now())) {
+                drawn++;
+            }
         }
-        assertTrue(drawn > 0);
+        assertTrue(granted > 0 && granted <= slack / 4, granted + " granted");
+        assertTrue(drawn >= granted);
         assertTrue(drawn <= ratio * requests + slack, drawn + " further tries of " + requests);
+        assertEquals(0, owner.grant("desk", 8), "a new owner waits until nothing of the old one's can be left");
+        world.run(owner.lifeMs());
+        Budget late = new Budget(0, 1);
+        late.sharers(500);
+        late.leased("desk", 1, world.now() - 1);
+        assertFalse(late.draw("desk", world.now()), "a lease ends");
+    }
+
+    @Test
+    void aServerThatFailsAPartGetsLessAndIsForgivenInTime() {
+        beat("i1", false, 0);
+        for (int i = 0; i < 40; i++) {
+            Gate.Ticket[] t = new Gate.Ticket[1];
+            t[0] = gate.offer("r", 1, 1000, world.now() + 1000, () -> { }, r -> { });
+            t[0].outcome(i % 2 == 0);
+            t[0].done(false);
+        }
+        assertTrue(gate.ill() >= 0.2 && gate.ill() < 0.8, "ill: " + gate.ill());
+        assertTrue(gate.open(), "less, not nothing");
+        world.run(15_000);
+        gate.check();
+        assertEquals(0, gate.ill());
     }
 }
