--- a/src/main/java/bramblespool/Rehearsal.java
+++ b/src/main/java/bramblespool/Rehearsal.java
@@ -3,6 +3,7 @@
 import bramblespool.protocol.Names;
 import bramblespool.role.Daemon;
 import bramblespool.role.Helm;
+import bramblespool.role.Hem;
 import bramblespool.role.Weft;
 import bramblespool.state.Log;
 import bramblespool.state.Settings;
@@ -19,19 +20,24 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 /**
- * A whole small mesh in one process on the loopback address: one helm, one weft, a stand-in server. It shows that an
- * installation works, and the build runs it to record the classes for the class-data archive.
+ * A whole small mesh and a small gateway in one process on loopback addresses: one helm with one weft, one with one hem,
+ * a stand-in server and a stand-in for the platform's list. It shows that an installation works, and the build runs it
+ * to record the classes for the class-data archive.
  */
 final class Rehearsal {
     private static final String IP = "127.0.0.1";
     /** All machines of a system use the same ports, so the two daemons need two addresses. */
     private static final String WEFT_IP = "127.0.0.2";
+    /** The gateway's helm and hem. */
+    private static final String HELM_IP = "127.0.0.3";
+    private static final String HEM_IP = "127.0.0.4";
     private static final long STEP_MS = 20_000;
     private static final int TRIES = 200;
     private static final String CONFIG = """
@@ -47,13 +53,20 @@
     private final Loop loop;
     private final Ports ports;
     private final Upstream upstream;
-    private final int[] port = new int[8];
+    private final int[] port = new int[9];
 
     private Rehearsal() throws IOException {
         Log log = new Log("rehearsal", System.err, Log.Level.WARN);
         loop = new Loop(log);
         ports = new Ports(loop, log);
         upstream = new Upstream(loop, ports.buffers());
+        do {
+            reserve();
+        } while (Arrays.stream(port).anyMatch(p -> p == port[1] + 1));
+    }
+
+    /** Takes ports that are free now; the one after the second is the hem's, for calls from other hems. */
+    private void reserve() throws IOException {
         ServerSocket[] held = new ServerSocket[port.length];
         for (int i = 0; i < port.length; i++) {
             held[i] = new ServerSocket(0, 1, InetAddress.getByName(IP));
@@ -96,7 +109,7 @@
                 warmExcess = 1.5
                 warmSlack = 5
                 evac = "5000ms"
-                """.formatted(node, machineClass, ip, port[1], port[1], at(2), more);
+                """.formatted(node, machineClass, ip, port[1], port[1] + 1, at(2), more);
     }
 
     /** Answers whether all steps went well. */
@@ -126,6 +139,13 @@
         Settings weft = Settings.parse(settings("sidecar", "weft-1", WEFT_IP, "target = \"stage\"\nappAddr = \"" + at(0)
                 + "\"\n[listeners]\ncontrol = \"" + at(4) + "\"\ninbound = \"" + at(5) + "\"\noutbound = \"" + at(6)
                 + "\"\nready = \"" + at(7) + "\""), "rehearsal");
+        play(dir, helm, weft);
+        Path other = Files.createTempDirectory("bramblespool");
+        gateway(other);
+        return true;
+    }
+
+    private void play(Path dir, Settings helm, Settings weft) throws Exception {
         Log log = new Log("rehearsal", System.err, Log.Level.WARN);
         Daemon h = new Helm(helm, loop, log);
         Daemon w = new Weft(weft, loop, log);
@@ -140,8 +160,35 @@
         step("an unknown route", () -> get(at(6), "/none/"), 404);
         step("a second configuration", () -> post(at(2), "/bramblespool/config/replace", CONFIG.formatted(3, 1)), 200);
         step("reading it back", () -> get(at(2), "/bramblespool/config/read"), 200);
+        end(dir, w, h, helm);
+    }
+
+    private void gateway(Path dir) throws Exception {
+        String listed = "deployment = \"api\"\ndiscovery = \"platform\"\nentry = \"virtual_ip\"\n[platform]\naddress = \""
+                + at(8) + "\"\nratePerS = 50.0\nlag = \"800ms\"\n";
+        ports.listen(at(8), x -> x.getResponseSender().send("{\"servers\":{\"z\":[{\"id\":\"i-1\",\"target\":\"stage\","
+                + "\"address\":\"" + at(0) + "\",\"epoch\":\"v1\",\"capacity\":4,\"state\":\"ready\",\"warmupLeft\":\"0ms\"}]},"
+                + "\"nextToken\":null}"), Ports.bounds(1 << 16, 1 << 20, 10_000, 10_000));
+        Settings helm = Settings.parse(settings("core", "helm-2", HELM_IP, "dataDir = \"" + dir + "\"\n" + listed
+                + "[listeners]\ncontrol = \"" + HELM_IP + ":" + port[2] + "\"").replace(at(2), HELM_IP + ":" + port[2]),
+                "rehearsal");
+        Settings edge = Settings.parse(settings("edge", "hem-1", HEM_IP, listed + "[listeners]\nfront = \"" + HEM_IP + ":"
+                + port[6] + "\"\nready = \"" + HEM_IP + ":" + port[7] + "\"").replace(at(2), HELM_IP + ":" + port[2]),
+                "rehearsal");
+        Log log = new Log("rehearsal", System.err, Log.Level.WARN);
+        Daemon h = new Helm(helm, loop, log);
+        Daemon e = new Hem(edge, loop, log);
+        step("the gateway's configuration", () -> post(helm.control(), "/bramblespool/config/replace",
+                CONFIG.formatted(1, 0)), 200);
+        step("the hem's readiness", () -> get(edge.ready(), "/bramblespool/readiness"), 200);
+        step("a request from outside", () -> get(edge.outbound(), "/a/1"), 200);
+        step("a request from outside with a body", () -> post(edge.outbound(), "/b/1", "body"), 200);
+        end(dir, e, h, helm);
+    }
+
+    private void end(Path dir, Daemon side, Daemon helm, Settings s) throws Exception {
         CompletableFuture<Void> ended = new CompletableFuture<>();
-        loop.post(() -> w.stop(helm.bounds().grace(), () -> h.stop(helm.bounds().grace(), () -> ended.complete(null))));
+        loop.post(() -> side.stop(s.bounds().grace(), () -> helm.stop(s.bounds().grace(), () -> ended.complete(null))));
         ended.get(STEP_MS, TimeUnit.MILLISECONDS);
         try (var files = Files.list(dir)) {
             for (Path f : files.toList()) {
@@ -149,7 +196,6 @@
             }
         }
         Files.delete(dir);
-        return true;
     }
 
     private interface Sending {
--- a/src/test/java/bramblespool/FormsTest.java
+++ b/src/test/java/bramblespool/FormsTest.java
@@ -115,6 +115,38 @@
         assertTrue(e.getMessage().startsWith("weft.toml: ") && e.getMessage().contains(fault), e.getMessage());
     }
 
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "front = \"10.0.1.1:8004\"||listeners.front: is missing",
+        "ready = \"10.0.1.1:8003\"||listeners.ready: is missing",
+        "address = \"10.9.9.9:80\"||platform.address: is missing",
+        "[platform]|[other]|platform: section is missing",
+        "discovery = \"platform\"|discovery = \"rumour\"|discovery: must be one of static, platform, not 'rumour'",
+        "entry = \"virtual_ip\"|entry = \"door\"|entry: must be one of static, virtual_ip, not 'door'",
+        "portRange = [7000, 7010]|portRange = [7000, 7000]|portRange: must leave two ports"})
+    void edgeSettingsThatAreNotFitNameFileAndField(String from, String to, String fault) throws Exception {
+        String good = toml().replace("sidecar", "edge").replace("appAddr = \"10.0.1.1:9000\"\ntarget = \"desk\"",
+                "deployment = \"api\"\ndiscovery = \"platform\"\nentry = \"virtual_ip\"\n[platform]\naddress = \"10.9.9.9:80\"")
+                .replace("control = \"10.0.1.1:8000\"", "front = \"10.0.1.1:8004\"");
+        assertTrue(good.contains(from), good);
+        Settings fit = Settings.parse(good, "hem.toml");
+        assertEquals("10.0.1.1:8004", fit.outbound());
+        assertEquals("10.0.1.1:7001", fit.inbound(), "hems call each other on the second port");
+        Settings.Unfit e = assertThrows(Settings.Unfit.class,
+                () -> Settings.parse(good.replace(from, to == null ? "" : to), "hem.toml"));
+        assertTrue(e.getMessage().startsWith("hem.toml: ") && e.getMessage().contains(fault), e.getMessage());
+    }
+
+    @Test
+    void aPackedDocumentComesBackAndAGarbledOneIsRefused() throws Exception {
+        String document = SimMesh.document(5, 0, "p\u017eilina").repeat(200);
+        String packed = Packed.pack(document);
+        assertTrue(packed.length() < document.length() / 4);
+        assertEquals(document, Packed.unpack(packed));
+        assertThrows(Config.Invalid.class, () -> Packed.unpack(packed.substring(0, packed.length() / 2)));
+        assertThrows(Config.Invalid.class, () -> Packed.unpack("no such thing!"));
+    }
+
     private static String toml() {
         return """
                 node = "weft-1"
