A reader that found its leader again was not heard: its numbers never start over

Cause: taking the duty up again under the same fence set the number of assignments back to 0, and a hem confirms unread what has the fence, number and reader of the last. Test: aLeavingWhileThereIsNoLeaderIsNoticedOnceThereIs.

--- a/src/main/java/bramblespool/coordination/Roster.java
+++ b/src/main/java/bramblespool/coordination/Roster.java
@@ -67,6 +67,7 @@
     private long reading;
     private long nextRead;
     private long backoff;
+    /** Numbers assignments; never starts over within a life, for the duty may come back under the same fence. */
     private long n;
     private Map<String, Listing.Entry> list;
     private final Map<String, String> steward = new HashMap<>();
@@ -93,7 +94,6 @@
             steward.clear();
             told.clear();
             reading++;
-            n = 0;
             nextRead = clock.now();
             backoff = 0;
             log.say(Event.DUTY_TAKEN, "duty", "list of " + zone, "fence", fence);
--- a/src/test/java/bramblespool/GatewayTest.java
+++ b/src/test/java/bramblespool/GatewayTest.java
@@ -150,6 +150,21 @@
         assertEquals(stewards("s0").size(), 1);
     }
 
+    /** The readers lose touch while there is no leader, and go on under the same fence: what they say then is new. */
+    @Test
+    void aLeavingWhileThereIsNoLeaderIsNoticedOnceThereIs() {
+        String alone = reader("a");
+        // The reader hears nobody for longer than it trusts a silent leader.
+        mesh.helms.keySet().forEach(h -> mesh.world.cut(h, alone, !h.equals(alone)));
+        mesh.world.run(1300);
+        mesh.helms.keySet().forEach(h -> mesh.world.cut(h, alone, false));
+        platform.leaving("s0");
+        platform.leaving("s3");
+        mesh.world.run(3500);
+        assertFalse(takesWork("s0") || takesWork("s3"));
+        eachHasOneSteward();
+    }
+
     @Test
     void anAddressUsedAgainUnderAnotherIdIsAnotherServer() {
         SimPlatform.Server old = platform.list.remove("s0");
