Read once more: one way to a gate, one mixing of bits, no guard that nothing needs

Behaviour as it was. The local and the remote call each picked route and gate for themselves; Inbound.Way does both now. News and Rendezvous shared the same mixing of bits. HttpPlatform guarded against a second answer that Upstream never gives after drop or an answer. Budget summed its leases only to ask whether there are any.

--- a/src/main/java/bramblespool/coordination/Budget.java
+++ b/src/main/java/bramblespool/coordination/Budget.java
@@ -56,7 +56,7 @@
 
     /** Whether there is a further try to take. */
     public boolean holds(String service, long now) {
-        if (held(service) >= 1 || leased(service, now) > 0) {
+        if (held(service) >= 1 || leased(service, now)) {
             return true;
         }
         wanting.add(service);
@@ -80,13 +80,13 @@
         return true;
     }
 
-    private int leased(String service, long now) {
+    private boolean leased(String service, long now) {
         ArrayDeque<Lease> q = leases.get(service);
         if (q == null) {
-            return 0;
+            return false;
         }
         q.removeIf(l -> l.until <= now);
-        return q.stream().mapToInt(Lease::tries).sum();
+        return !q.isEmpty();
     }
 
     /** Tries leased from the owner of the service's slack, good until then. */
--- a/src/main/java/bramblespool/coordination/News.java
+++ b/src/main/java/bramblespool/coordination/News.java
@@ -30,10 +30,8 @@
         }
 
         long hash() {
-            long h = key.hashCode() * 0x9E3779B97F4A7C15L ^ life * 0xC2B2AE3D27D4EB4FL ^ seq * 0x165667B19E3779F9L;
-            h ^= h >>> 29;
-            h *= 0xBF58476D1CE4E5B9L;
-            return h ^ h >>> 32;
+            return Rendezvous.mix(key.hashCode() * 0x9E3779B97F4A7C15L ^ life * 0xC2B2AE3D27D4EB4FL
+                    ^ seq * 0x165667B19E3779F9L);
         }
 
         int branch() {
--- a/src/main/java/bramblespool/coordination/Rendezvous.java
+++ b/src/main/java/bramblespool/coordination/Rendezvous.java
@@ -8,11 +8,14 @@
     }
 
     static long weight(String key, String who) {
-        long h = key.hashCode() * 0x9E3779B97F4A7C15L ^ who.hashCode() * 0xC2B2AE3D27D4EB4FL;
+        return mix(key.hashCode() * 0x9E3779B97F4A7C15L ^ who.hashCode() * 0xC2B2AE3D27D4EB4FL) & Long.MAX_VALUE;
+    }
+
+    /** Spreads every bit over all of them. */
+    static long mix(long h) {
         h ^= h >>> 29;
         h *= 0xBF58476D1CE4E5B9L;
-        h ^= h >>> 32;
-        return h & Long.MAX_VALUE;
+        return h ^ h >>> 32;
     }
 
     static String first(String key, Collection<String> of) {
--- a/src/main/java/bramblespool/role/Inbound.java
+++ b/src/main/java/bramblespool/role/Inbound.java
@@ -37,18 +37,29 @@
         this.marked = marked;
     }
 
-    /** The route under which the request may be handed to a server of the service, or why not. */
-    record Way(Config.Route route, String why) {
-        static Way of(Shadow shadow, String mark, String host, String path, String target) {
+    /** The route under which the request may be handed to a server of the service, and its gate; or why not. */
+    record Way(Config.Route route, Gate gate, String why) {
+        private static Way no(String why) {
+            return new Way(null, null, why);
+        }
+
+        static Way of(Shadow shadow, Gates gates, String mark, String host, String path, String target) {
+            if (target == null) {
+                return no("none");
+            }
             Shadow.Choice choice = shadow.resolve(mark);
             if (choice == null) {
-                return new Way(null, "mark");
+                return no("mark");
             }
             if (choice.test()) {
-                return new Way(null, "test");
+                return no("test");
             }
             Config.Route route = choice.config().route(host, path);
-            return route == null || !route.leadsTo(target) ? new Way(null, "route") : new Way(route, null);
+            if (route == null || !route.leadsTo(target)) {
+                return no("route");
+            }
+            Gate gate = gates.pick(target);
+            return gate == null ? no("none") : new Way(route, gate, null);
         }
     }
 
@@ -68,17 +79,15 @@
         String mark = x.getRequestHeaders().getFirst(Names.MARK);
         marked.accept(x.getRequestHeaders().getFirst(Names.FROM), mark);
         String service = target != null ? target : x.getRequestHeaders().getFirst(Names.SERVICE);
-        Way way = service == null ? new Way(null, "none")
-                : Way.of(shadow, mark, x.getRequestHeaders().getFirst(Headers.HOST), Exchanges.path(x), service);
-        Gate gate = way.route == null ? null : gates.pick(service);
-        if (gate == null) {
-            refuse(x, service, way.route == null ? way.why : "none", 0, false);
+        Way way = Way.of(shadow, gates, mark, x.getRequestHeaders().getFirst(Headers.HOST), Exchanges.path(x), service);
+        if (way.gate == null) {
+            refuse(x, service, way.why, 0, false);
             return;
         }
         Stream.read(x.getRequestChannel(), buffers, Courier.BUFFERED, body -> {
             Courier.Parcel p = new Courier.Parcel(x.getRequestMethod(), Exchanges.target(x), x.getRequestHeaders(),
                     body, x.getRequestHeaders().getFirst(Names.ATTEMPT), caller(x), deadline);
-            courier.serve(gate, p, way.route, (r, ending) -> answer(x, service, r, ending));
+            courier.serve(way.gate, p, way.route, (r, ending) -> answer(x, service, r, ending));
         }, e -> x.endExchange());
     }
 
--- a/src/main/java/bramblespool/role/Outbound.java
+++ b/src/main/java/bramblespool/role/Outbound.java
@@ -2,7 +2,6 @@
 
 import bramblespool.coordination.Budget;
 import bramblespool.coordination.Fleet;
-import bramblespool.coordination.Gate;
 import bramblespool.coordination.Gates;
 import bramblespool.coordination.Shadow;
 import bramblespool.protocol.Names;
@@ -257,14 +256,13 @@
 
             void start() {
                 if (door.at.node.equals(node)) {
-                    Inbound.Way way = Inbound.Way.of(shadow, mark, x.getRequestHeaders().getFirst(Headers.HOST),
+                    Inbound.Way way = Inbound.Way.of(shadow, gates, mark, x.getRequestHeaders().getFirst(Headers.HOST),
                             Exchanges.path(x), service);
-                    Gate gate = way.route() == null ? null : gates.pick(service);
-                    if (gate == null) {
-                        finish(Courier.Result.neverRan(way.route() == null ? way.why() : "none", 0, false), null);
+                    if (way.gate() == null) {
+                        finish(Courier.Result.neverRan(way.why(), 0, false), null);
                         return;
                     }
-                    courier.serve(gate, parcel, way.route(), (r, ending) -> {
+                    courier.serve(way.gate(), parcel, way.route(), (r, ending) -> {
                         fleet.report(door, gates.load(service));
                         finish(r, ending);
                     });
--- a/src/main/java/bramblespool/transport/HttpPlatform.java
+++ b/src/main/java/bramblespool/transport/HttpPlatform.java
@@ -28,17 +28,10 @@
         String target = "/servers?zone=" + word(zone) + (token == null ? "" : "&pageToken=" + word(token));
         HeaderMap headers = new HeaderMap();
         headers.put(Headers.HOST, address);
-        boolean[] over = new boolean[1];
         Upstream.Call[] call = new Upstream.Call[1];
-        Consumer<Page> once = p -> {
-            if (!over[0]) {
-                over[0] = true;
-                answer.accept(p);
-            }
-        };
         Clock.Timer timer = loop.after(patienceMs, () -> {
             call[0].drop();
-            once.accept(new Page(0, null));
+            answer.accept(new Page(0, null));
         });
         call[0] = upstream.send(address, new Upstream.Manner(patienceMs, patienceMs * 2, LARGEST),
                 new Upstream.Request(Methods.GET, target, headers, Stream.Body.EMPTY), new Upstream.Receiver() {
@@ -48,13 +41,13 @@
                         if (!a.body().whole()) {
                             call[0].finished(false);
                         }
-                        once.accept(new Page(a.code(), a.body().whole() ? a.body().head() : null));
+                        answer.accept(new Page(a.code(), a.body().whole() ? a.body().head() : null));
                     }
 
                     @Override
                     public void failed(Upstream.Reach reach, String cause) {
                         timer.cancel();
-                        once.accept(new Page(0, null));
+                        answer.accept(new Page(0, null));
                     }
                 });
     }
