A start among a hundred settles: one news message under way to each, retries ease off

Cause, shown on a simulated cluster of 100 wefts and six helms with links of 270 bytes a ms and 1 ms of processor for a message: at a start each item of news went to each daemon in a message of its own, helms answered renewals late, wefts without an answer asked the next helm 24 times a second, and each opening made news for all. It never settled: 14,000 to 21,000 messages a second, no session open after 4 s, no order acknowledged. All first contacts also went to the first seed.

Now one news message is under way to each daemon, and what comes meanwhile goes as one, the newest of each item; a weft without a session asks again at 1/12 of a renewal, then twice that, up to a renewal, each by chance; helms are tried in an order of the weft's own, and its home as soon as it is known.

Excluded: digests (the collapse is the same without mending rounds being longer); elections (a leader was there until its heartbeats came late too).

--- a/src/main/java/bramblespool/coordination/News.java
+++ b/src/main/java/bramblespool/coordination/News.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -49,6 +50,12 @@
         List<String> compare();
     }
 
+    /** What one other daemon is still to be told. */
+    private static final class Outbox {
+        final Map<String, Item> waiting = new LinkedHashMap<>();
+        boolean busy;
+    }
+
     /** Leaves of the digest: with some hundreds of items few stand in one. */
     private static final int BRANCHES = 32;
 
@@ -62,6 +69,7 @@
     private final long[] branches = new long[BRANCHES];
     private final List<Consumer<Item>> listeners = new ArrayList<>();
     private final Map<Source, Map<String, Item>> fresh = new EnumMap<>(Source.class);
+    private final Map<String, Outbox> outboxes = new HashMap<>();
     private String author;
     private long life = 1;
     private long seq;
@@ -149,13 +157,35 @@
         if (told.isEmpty()) {
             return;
         }
-        ObjectNode m = message();
-        write(m, now);
         for (String to : told) {
-            wire.call(to, "news", m, callMs, a -> { });
+            Outbox box = outboxes.computeIfAbsent(to, t -> new Outbox());
+            now.forEach(i -> box.waiting.put(i.key, i));
+            flush(to, box);
         }
     }
 
+    /**
+     * One message is under way to each daemon; what comes meanwhile waits and goes as one, the newest of each item. So
+     * whoever is slow gets fewer messages with more in each, and nothing piles up on the way to it.
+     */
+    private void flush(String to, Outbox box) {
+        if (box.busy) {
+            return;
+        }
+        if (box.waiting.isEmpty()) {
+            outboxes.remove(to);
+            return;
+        }
+        ObjectNode m = message();
+        write(m, box.waiting.values());
+        box.waiting.clear();
+        box.busy = true;
+        wire.call(to, "news", m, callMs, a -> {
+            box.busy = false;
+            flush(to, box);
+        });
+    }
+
     private ObjectNode message() {
         return JsonNodeFactory.instance.objectNode().put("cell", cell);
     }
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -12,6 +12,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -60,9 +61,12 @@
     private int misses;
     private int renewals;
     private int rotation;
+    /** The home helm that was tried while the session was elsewhere: it is tried at once when first heard of. */
+    private String homeTried;
     private boolean gone;
     private boolean fetching;
     private boolean hurrying;
+    private long hurry;
     private final Set<String> pinging = new LinkedHashSet<>();
     private long lastTick;
 
@@ -208,12 +212,15 @@
         return null;
     }
 
+    /** The helm of the own zone; where that is unknown or silent the others in turn, each side in an order of its own. */
     private void pickHelm() {
         String home = homeHelm();
         List<String> all = new ArrayList<>(helms());
         if (home != null && !home.equals(helm)) {
+            homeTried = home;
             helm = home;
         } else if (!all.isEmpty()) {
+            all.sort(Comparator.comparingLong(h -> Rendezvous.weight(settings.node(), h)));
             helm = all.get(rotation++ % all.size());
         }
         session++;
@@ -228,9 +235,11 @@
                 sessionOpen = false;
             }
             pickHelm();
-        } else if (++renewals % HOMEWARD == 0 || !sessionOpen) {
+        } else {
+            renewals++;
             String home = homeHelm();
-            if (home != null && !home.equals(helm)) {
+            if (home != null && !home.equals(helm) && (!home.equals(homeTried) || renewals % HOMEWARD == 0 || !sessionOpen)) {
+                homeTried = home;
                 tryHome(home);
             }
         }
@@ -249,9 +258,12 @@
                     if (sessionOpen) {
                         renew();
                     } else if (!hurrying) {
-                        // Without a session nothing is known for sure: the next helm is asked soon.
+                        // Without a session nothing is known for sure: the next helm is asked soon, but less and less
+                        // so, for helms that are slow to answer are made slower by being asked.
                         hurrying = true;
-                        clock.after(settings.bounds().quiet() / RENEWALS / HURRY, () -> {
+                        long renewal = settings.bounds().quiet() / RENEWALS;
+                        hurry = Math.min(renewal, Math.max(renewal / HURRY, hurry * 2));
+                        clock.after((long) (hurry * (0.5 + clock.chance())), () -> {
                             hurrying = false;
                             if (!sessionOpen) {
                                 renew();
@@ -272,6 +284,7 @@
 
     private void renewed(JsonNode a) {
         misses = 0;
+        hurry = 0;
         if (!a.path("ok").asBoolean()) {
             session++;
             news.raise(a.path("life").asLong());
--- /dev/null
+++ b/src/test/java/bramblespool/HundredsTest.java
@@ -0,0 +1,179 @@
+package bramblespool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import bramblespool.coordination.HelmCore;
+import bramblespool.coordination.Quorum;
+import bramblespool.coordination.WeftCore;
+import bramblespool.protocol.Orders;
+import bramblespool.sim.SimMesh;
+import bramblespool.sim.SimWorld;
+import bramblespool.state.Ledger;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A hundred wefts and six helms in six zones, with narrow links and slow processors: what grows too fast comes late. */
+class HundredsTest {
+    private static final int SIDES = Integer.getInteger("sides", 100);
+
+    private final SimMesh mesh = new SimMesh(7, 6, 0, 2, null);
+
+    HundredsTest() {
+        for (int i = 0; i < 6; i++) {
+            slow(SimMesh.helmPeer(i), 15_000);
+        }
+        for (int i = 0; i < SIDES; i++) {
+            slow(SimMesh.weftPeer(i), 270);
+            mesh.startWeft(SimMesh.weftPeer(i));
+        }
+    }
+
+    private void slow(String peer, double linkRate) {
+        SimWorld.Machine m = mesh.world.machine(peer);
+        m.linkRate = linkRate;
+        m.messageMs = 1;
+        m.kilobyteMs = 0.1;
+    }
+
+    private SimWorld.Machine helm(int i) {
+        return mesh.world.machine(SimMesh.helmPeer(i));
+    }
+
+    private long sessionsAtHome() {
+        return mesh.wefts.entrySet().stream().filter(e -> {
+            int i = new ArrayList<>(mesh.wefts.keySet()).indexOf(e.getKey());
+            return e.getValue().sessionOpen() && SimMesh.helmPeer(i % 6).equals(e.getValue().helm());
+        }).count();
+    }
+
+    private Orders.Outcome order(Orders.Change change, long withinMs) {
+        Orders.Outcome[] got = new Orders.Outcome[1];
+        mesh.order(change, o -> got[0] = o);
+        for (long t = 0; t < withinMs && got[0] == null; t += 20) {
+            mesh.world.run(20);
+        }
+        return got[0];
+    }
+
+    private long behind(long epoch) {
+        return mesh.wefts.values().stream().filter(w -> w.shadow.epoch() != epoch).count();
+    }
+
+    @Test
+    void aStartIsSpreadOverTheHelms() {
+        mesh.world.run(3000);
+        long most = 0;
+        long sum = 0;
+        for (int i = 0; i < 6; i++) {
+            most = Math.max(most, helm(i).handled);
+            sum += helm(i).handled;
+        }
+        assertEquals(SIDES, sessionsAtHome(), "each has found the helm of its zone");
+        assertTrue(most < sum / 6 * 2, most + " of " + sum + " messages at one helm");
+    }
+
+    @Test
+    void oneChangeCostsTheLeaderLittleAndEachSideFourMessages() {
+        mesh.world.run(8000);
+        String leader = Quorum.addressOf(mesh.leader().quorum.leaderId());
+        long idle = -mesh.world.messages;
+        double idleWork = -mesh.world.machine(leader).worked;
+        mesh.world.run(1000);
+        idle += mesh.world.messages;
+        idleWork += mesh.world.machine(leader).worked;
+        long before = mesh.world.messages;
+        double worked = mesh.world.machine(leader).worked;
+        assertEquals(200, order(SimMesh.change(5, 0, "one"), 1000).status());
+        mesh.world.run(1000);
+        assertEquals(0, behind(5));
+        long messages = mesh.world.messages - before - idle;
+        double work = mesh.world.machine(leader).worked - worked - idleWork;
+        assertTrue(messages < SIDES * 9, messages + " messages for a change");
+        assertTrue(work < 300, work + " ms of the leader's processor for a change");
+    }
+
+    /** Calls and renewals share the link with a large document: none of them is lost to it. */
+    @Test
+    void manyRoutesOverNarrowLinksCloseNoSession() {
+        mesh.world.run(8000);
+        assertEquals(200, order(SimMesh.change(5, 0, "one"), 1000).status());
+        mesh.world.run(1000);
+        int[] most = new int[1];
+        Orders.Outcome got = order(mesh.large(6, 5, 2000), 5000);
+        assertNotNull(got, "acknowledged within ack");
+        assertEquals(200, got.status());
+        for (int t = 0; t < 2500; t += 50) {
+            mesh.world.run(50);
+            most[0] = Math.max(most[0], (int) mesh.wefts.values().stream().filter(w -> !w.sessionOpen()).count());
+        }
+        assertEquals(0, behind(6), "in force everywhere within apply");
+        assertEquals(0, most[0], "sessions lost");
+    }
+
+    /** Half of all are killed at once: what they cause when they come back is in proportion to them. */
+    @Test
+    void aHerdThatComesBackIsHeardInProportion() {
+        mesh.world.run(8000);
+        assertEquals(200, order(SimMesh.change(5, 0, "one"), 1000).status());
+        mesh.world.run(2000);
+        for (int i = 0; i < SIDES; i += 2) {
+            mesh.killWeft(SimMesh.weftPeer(i));
+        }
+        mesh.world.run(1000);
+        long before = mesh.world.messages;
+        for (int i = 0; i < SIDES; i += 2) {
+            mesh.startWeft(SimMesh.weftPeer(i));
+        }
+        mesh.world.run(2000);
+        long messages = mesh.world.messages - before;
+        for (WeftCore w : mesh.wefts.values()) {
+            assertTrue(w.ready() && w.sessionOpen() && w.shadow.epoch() == 5, "back in two thirds of quiet");
+        }
+        assertTrue(messages < SIDES * 60, messages + " messages after a herd came back");
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 25, 45, 65, 85, 110, 140, 180, 240})
+    void theLeaderDiesInAnyPhaseAmongHundreds(int killedAfter) {
+        mesh.world.run(8000);
+        assertEquals(200, order(SimMesh.change(5, 0, "one"), 1000).status());
+        mesh.world.run(800);
+        Orders.Outcome[] got = new Orders.Outcome[1];
+        mesh.order(SimMesh.change(6, 5, "two"), o -> got[0] = o);
+        mesh.world.run(killedAfter);
+        mesh.killHelm(Quorum.addressOf(mesh.leader().quorum.leaderId()), true);
+        mesh.world.run(5000);
+        HelmCore next = mesh.leader();
+        assertNotNull(next, "a new leader");
+        long now = next.ledger().current().epoch();
+        if (got[0] != null && got[0].status() == 200) {
+            assertEquals(6, now, "acknowledged");
+        }
+        assertEquals(0, behind(now), "one version everywhere");
+        assertEquals(Ledger.Phase.MARKED, next.ledger().phase());
+        assertEquals(200, order(SimMesh.change(9, now, "three"), 1500).status(), "and changes go on");
+    }
+
+    /** A zone goes with its voter, and a voter of another zone with it: three of five are left. */
+    @Test
+    void aZoneAndAVoterElsewhereLeaveAMajority() {
+        mesh.world.run(12_000);
+        List<String> voters = mesh.leader().quorum.voters();
+        assertEquals(5, voters.size(), voters.toString());
+        List<String> lost = voters.stream().map(Quorum::addressOf).limit(2).toList();
+        int zone = Integer.parseInt(lost.get(0).replaceAll("10.0.0.(\\d+):.*", "$1")) - 1;
+        for (int i = zone; i < SIDES; i += 6) {
+            mesh.killWeft(SimMesh.weftPeer(i));
+        }
+        lost.forEach(h -> mesh.killHelm(h, true));
+        mesh.world.run(3000);
+        assertEquals(200, order(SimMesh.change(5, 0, "one"), 2000).status());
+        mesh.world.run(2000);
+        assertEquals(0, behind(5));
+    }
+}
--- a/src/test/java/bramblespool/sim/SimMesh.java
+++ b/src/test/java/bramblespool/sim/SimMesh.java
@@ -9,6 +9,7 @@
 import bramblespool.state.Settings;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,7 +38,8 @@
             retrySlack = 60
             evac = "5s"
             """;
-    public static final String[] ZONES = {"a", "b", "c"};
+    public static final String[] ZONES = {"a", "b", "c", "d", "e", "f"};
+    private final int zones;
 
     public SimMesh(long seed, int helmCount, int weftCount) {
         this(seed, helmCount, weftCount, 1, null);
@@ -48,6 +50,7 @@
         world = new SimWorld(seed);
         this.losses = losses;
         this.platform = platform;
+        this.zones = helmCount < ZONES.length ? 3 : ZONES.length;
         for (int i = 0; i < Math.min(3, helmCount); i++) {
             seeds.add("10.0.0." + (i + 1) + ":8000");
         }
@@ -63,6 +66,10 @@
         }
     }
 
+    public String zone(int i) {
+        return ZONES[i % zones];
+    }
+
     public static String hemPeer(int i) {
         return "10.0.2." + (i + 1) + ":7000";
     }
@@ -95,9 +102,7 @@
                 [platform]
                 address = "10.9.9.9:80"
                 [zones]
-                a = "r"
-                b = "r"
-                c = "r"
+                %s
                 [faultBudget]
                 machines = %d
                 [listeners]
@@ -108,9 +113,10 @@
                 front = "%s:8004"
                 [limits]
                 memoryMb = 0
-                %s                """.formatted(helm ? "helm" : hem ? "hem" : "weft", last, helm ? "core" : hem ? "edge" : "sidecar", ip, ZONES[(last - 1) % 3],
+                %s                """.formatted(helm ? "helm" : hem ? "hem" : "weft", last, helm ? "core" : hem ? "edge" : "sidecar", ip, zone(last - 1),
                 seeds.stream().map(s -> '"' + s + '"').reduce((a, b) -> a + "," + b).orElse(""), bootstrap, ip,
-                platform == null ? "static" : "platform", losses, ip, ip, ip, ip, ip, BOUNDS);
+                platform == null ? "static" : "platform",
+                String.join("\n", Arrays.stream(ZONES).limit(zones).map(z -> z + " = \"r\"").toList()), losses, ip, ip, ip, ip, ip, BOUNDS);
         try {
             return Settings.parse(text, "simulated");
         } catch (Settings.Unfit e) {
@@ -186,8 +192,24 @@
     }
 
     public static Orders.Change change(long epoch, long base, String prefix) {
+        return change(document(epoch, base, prefix));
+    }
+
+    /** A change with so many routes, no two alike, that nothing much is saved by packing them. */
+    public Orders.Change large(long epoch, long base, int routes) {
+        StringBuilder rows = new StringBuilder();
+        for (int i = 0; i < routes; i++) {
+            rows.append(i == 0 ? "" : ",").append("[\"r").append(i).append("\",\"x.example\",\"/")
+                    .append(Long.toHexString(world.random.nextLong())).append("/\",\"idempotent\",\"1500ms\",\"600ms\",1,null,2,\"desk\"]");
+        }
+        String one = document(epoch, base, "one");
+        int from = one.indexOf("[[\"r\"") + 1;
+        return change(one.substring(0, from) + rows + one.substring(one.indexOf("]]", from) + 1));
+    }
+
+    private static Orders.Change change(String document) {
         try {
-            return Orders.change(false, document(epoch, base, prefix).getBytes(StandardCharsets.UTF_8));
+            return Orders.change(false, document.getBytes(StandardCharsets.UTF_8));
         } catch (Config.Invalid e) {
             throw new IllegalStateException(e);
         }
--- a/src/test/java/bramblespool/sim/SimWorld.java
+++ b/src/test/java/bramblespool/sim/SimWorld.java
@@ -85,6 +85,17 @@
     /** A machine with one process at a time; each start is a new life. */
     public final class Machine implements Wire, Clock {
         public final String peer;
+        /** Bytes that its link carries in a millisecond, each way; 0: any number. */
+        public double linkRate;
+        /** Milliseconds of its processor for one message, and for each of its kilobytes. */
+        public double messageMs;
+        public double kilobyteMs;
+        /** Messages it has taken or answered, and the processor time that took. */
+        public long handled;
+        public double worked;
+        private double outFree;
+        private double inFree;
+        private double busyUntil;
         private int life;
         private boolean up;
         private Service service;
@@ -100,6 +111,9 @@
 
         public void boot() {
             life++;
+            outFree = 0;
+            inFree = 0;
+            busyUntil = 0;
             up = true;
         }
 
@@ -159,7 +173,7 @@
             String wire = body.toString();
             bytes += wire.length();
             int caller = life;
-            at(1 + random.nextInt(3), () -> {
+            at(leaves(wire.length()), () -> {
                 Machine to = machines.get(address);
                 if (to == null || cuts.contains(peer + ">" + address)) {
                     return;
@@ -168,15 +182,45 @@
                     at(1, () -> back(caller, once, null));
                     return;
                 }
-                to.service.serve(kind, parse(wire), out -> {
-                    String text = out == null ? null : out.toString();
-                    if (!cuts.contains(address + ">" + peer)) {
-                        at(1 + random.nextInt(3), () -> back(caller, once, text));
+                int callee = to.life;
+                to.handle(wire.length(), () -> {
+                    if (to.life != callee) {
+                        return;
                     }
+                    to.service.serve(kind, parse(wire), out -> {
+                        String text = out == null ? null : out.toString();
+                        int length = text == null ? 0 : text.length();
+                        at(to.leaves(length), () -> {
+                            if (!cuts.contains(address + ">" + peer)) {
+                                handle(length, () -> back(caller, once, text));
+                            }
+                        });
+                    });
                 });
             });
         }
 
+        /** After how long the last byte of a message sent now has arrived at the other end of its own link and the net. */
+        private long leaves(int length) {
+            outFree = Math.max(now, outFree) + (linkRate > 0 ? length / linkRate : 0);
+            return (long) (outFree - now) + 1 + random.nextInt(3);
+        }
+
+        /** Runs the task when its bytes are through this machine's link and its processor has come to it. */
+        private void handle(int length, Runnable task) {
+            inFree = Math.max(now, inFree) + (linkRate > 0 ? length / linkRate : 0);
+            double cost = messageMs + kilobyteMs * length / 1024;
+            busyUntil = Math.max(inFree, busyUntil) + cost;
+            handled++;
+            worked += cost;
+            long wait = (long) (busyUntil - now);
+            if (wait > 0) {
+                at(wait, task);
+            } else {
+                task.run();
+            }
+        }
+
         private void back(int caller, Consumer<JsonNode> once, String text) {
             if (up && life == caller) {
                 once.accept(text == null ? null : parse(text));
