Choice among many: old reports fade to the usual load, slow servers are told of

Cause: with ten doors or more in a zone each is used less than once a second by each caller; a report older than 400 ms counted as no load at all, so one not heard of went before one known to be idle, and a door was drawn against itself. A server that turned slow showed only in reports as old as these, and was first choice on its own machine as long as it had a slot: internal calls waited behind it.

Now a report fades to what the service's doors report on the whole, the own gate's load is known exactly, and a gate tells in two steps when its server takes 2 or 3.5 times its usual time, route by route.

--- a/src/main/java/bramblespool/coordination/Fleet.java
+++ b/src/main/java/bramblespool/coordination/Fleet.java
@@ -3,6 +3,7 @@
 import bramblespool.state.Settings;
 import bramblespool.transport.Clock;
 import com.fasterxml.jackson.databind.JsonNode;
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 
 /** The data plane's daemons and their doors as the news tells, with what this daemon has itself seen of them. */
 public final class Fleet {
@@ -45,6 +47,7 @@
         boolean open;
         long coldUntil;
         double ill;
+        int slow;
         int outstanding;
         int reported;
         long reportedAt;
@@ -55,23 +58,34 @@
         }
     }
 
-    /** How long a reported load says something. */
-    private static final long REPORT_MS = 400;
+    /** After so long a reported load says little more than what the service's doors report on the whole. */
+    private static final double REPORT_MS = 400;
+    /** And then nothing more: a trace of old news must not decide between two doors. */
+    private static final long FORGET_MS = 800;
     /** Below this share of its capacity a near server is taken before a far one. */
     private static final double NEAR_SHARE = 0.8;
     private static final double COLD_COST = 0.6;
     /** What a server that fails everything costs more, in loads of itself: one that fails a part gets less, not nothing. */
     static final double ILL_COST = 2;
+    /** What each step of slowness costs more: a request at a server that takes many times as long misses its aim. */
+    static final double SLOW_COST = 1;
+    /** How much one report weighs in what a service's doors usually report. */
+    private static final double USUAL = 0.02;
 
     private final Clock clock;
     private final String self;
     private final String zone;
     private final long suspectMs;
+    private final ToIntFunction<String> own;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, List<Door>> byTarget = new HashMap<>();
+    /** For each service, the share of their capacity that its doors usually report as taken. */
+    private final Object2DoubleOpenHashMap<String> usual = new Object2DoubleOpenHashMap<>();
     private final Set<String> evacuated = new HashSet<>();
 
-    public Fleet(Clock clock, String self, String zone, long suspectMs) {
+    /** {@code own}: how many requests this daemon's own gates of a service hold. */
+    public Fleet(Clock clock, String self, String zone, long suspectMs, ToIntFunction<String> own) {
+        this.own = own;
         this.clock = clock;
         this.self = self;
         this.zone = zone;
@@ -154,6 +168,7 @@
         d.capacity = Math.max(1, b.path("capacity").asInt());
         d.open = b.path("open").asBoolean();
         d.ill = b.path("ill").asDouble();
+        d.slow = b.path("slow").asInt();
         long cold = b.path("cold").asLong();
         d.coldUntil = cold > 0 ? clock.now() + cold : 0;
     }
@@ -225,6 +240,8 @@
         d.reportedAt = clock.now();
         d.at.heard = d.reportedAt;
         d.at.suspectUntil = 0;
+        double u = usual.getDouble(d.target);
+        usual.put(d.target, u + USUAL * ((double) load / d.capacity - u));
     }
 
     public void suspect(Peer p) {
@@ -235,16 +252,23 @@
         return p.suspectUntil > clock.now();
     }
 
+    /**
+     * The share of a door's capacity that is likely taken: what it reported, the less believed the older it is, and the
+     * rest as with the service's doors on the whole. So one that was seen idle goes before one nobody has seen lately,
+     * and that before one that was seen full.
+     */
     private double load(Door d, long now) {
-        double load = d.outstanding;
-        if (now - d.reportedAt < REPORT_MS) {
-            load = Math.max(load, d.reported);
+        if (d.at.node.equals(self)) {
+            return (double) own.applyAsInt(d.target) / d.capacity + (d.coldUntil > now ? COLD_COST : 0);
         }
-        return load / d.capacity + (d.coldUntil > now ? COLD_COST : 0);
+        double u = usual.getDouble(d.target);
+        double told = now - d.reportedAt > FORGET_MS ? u
+                : u + ((double) d.reported / d.capacity - u) * Math.exp((d.reportedAt - now) / REPORT_MS);
+        return Math.max((double) d.outstanding / d.capacity, told) + (d.coldUntil > now ? COLD_COST : 0);
     }
 
     private double cost(Door d, long now) {
-        return load(d, now) + d.ill * ILL_COST;
+        return load(d, now) + d.ill * ILL_COST + d.slow * SLOW_COST;
     }
 
     /** A door of the service not tried yet, or null where there is none. */
@@ -272,7 +296,7 @@
                 return d;
             }
             sound.add(d);
-            if (p.zone.equals(zone) && load(d, now) < NEAR_SHARE) {
+            if (p.zone.equals(zone) && load(d, now) <= Math.max(NEAR_SHARE, usual.getDouble(service))) {
                 near.add(d);
             }
         }
@@ -284,8 +308,12 @@
         if (of.isEmpty()) {
             return null;
         }
-        Door a = of.get((int) (clock.chance() * of.size()));
-        Door b = of.get((int) (clock.chance() * of.size()));
+        int first = (int) (clock.chance() * of.size());
+        if (of.size() == 1) {
+            return of.get(0);
+        }
+        Door a = of.get(first);
+        Door b = of.get((first + 1 + (int) (clock.chance() * (of.size() - 1))) % of.size());
         return cost(b, now) < cost(a, now) ? b : a;
     }
 }
--- a/src/main/java/bramblespool/coordination/Gate.java
+++ b/src/main/java/bramblespool/coordination/Gate.java
@@ -157,6 +157,8 @@
     private double ill;
     private long illAt;
     private int illTold;
+    private final Pace pace;
+    private int slowTold;
     private Clock.Timer warmTimer;
 
     public Gate(Clock clock, Rules rules, String address, String target, Runnable changed, Log log) {
@@ -167,6 +169,7 @@
         this.changed = changed;
         this.log = log;
         this.born = clock.now();
+        this.pace = new Pace(rules.drain);
         work.defaultReturnValue(-1);
     }
 
@@ -191,6 +194,7 @@
             id = b.id();
             running = 0;
             ill = 0;
+            pace.forget();
             draining = false;
             arrivals.clear();
             log.say(Event.SERVER_NEW, "server", id, "capacity", b.capacity(), "cold", b.warmupLeft());
@@ -297,13 +301,15 @@
     private void feel(boolean good) {
         ill = illness() * (1 - FEEL) + (good ? 0 : FEEL);
         illAt = clock.now();
-        tellIll();
+        tellHealth();
     }
 
-    private void tellIll() {
+    private void tellHealth() {
         int step = (int) (illness() * ILL_STEPS);
-        if (step != illTold) {
+        int slow = pace.step(clock.now(), slowTold);
+        if (step != illTold || slow != slowTold) {
             illTold = step;
+            slowTold = slow;
             changed.run();
         }
     }
@@ -313,10 +319,20 @@
         return (double) illTold / ILL_STEPS;
     }
 
+    /** How much slower it has become than it usually is, in steps as others are told: 0 not, 1 some times, 2 many times. */
+    public int slow() {
+        return slowTold;
+    }
+
+    /** What its illness and slowness are worth in load of itself: at these gates and at those who choose among them. */
+    double burden() {
+        return ill() * Fleet.ILL_COST + slowTold * Fleet.SLOW_COST;
+    }
+
     /** To be called now and then. */
     public void check() {
         long now = clock.now();
-        tellIll();
+        tellHealth();
         if (id != null && !down && rules.beats() && now - lastBeat > rules.beat * SILENT_BEATS) {
             gone(Event.SERVER_SILENT);
         } else if (down && !rules.beats() && now - downSince > rules.drain / 4) {
@@ -407,8 +423,7 @@
         if (open() != other.open()) {
             return open();
         }
-        return (load() + 1.0) / capacity + ill() * Fleet.ILL_COST
-                < (other.load() + 1.0) / other.capacity + other.ill() * Fleet.ILL_COST;
+        return (load() + 1.0) / capacity + burden() < (other.load() + 1.0) / other.capacity + other.burden();
     }
 
     // ---- requests
@@ -545,6 +560,8 @@
     }
 
     private void learn(String route, long ms) {
+        pace.took(route, ms, clock.now());
+        tellHealth();
         double w = work.getDouble(route);
         work.put(route, w < 0 ? ms : w + LEARN * (ms - w));
         double d = Math.max(0, deviation.getDouble(route));
--- a/src/main/java/bramblespool/coordination/Gates.java
+++ b/src/main/java/bramblespool/coordination/Gates.java
@@ -106,6 +106,7 @@
             int capacity = 0;
             long cold = Long.MAX_VALUE;
             double ill = 1;
+            int slow = Integer.MAX_VALUE;
             StringBuilder ids = new StringBuilder();
             for (Gate g : l) {
                 if (g.id() == null) {
@@ -116,6 +117,7 @@
                     capacity += g.capacity();
                     cold = Math.min(cold, g.coldLeft());
                     ill = Math.min(ill, g.ill());
+                    slow = Math.min(slow, g.slow());
                 }
             }
             ObjectNode door = doors.addObject().put("target", target).put("servers", ids.toString()).put("capacity", capacity)
@@ -123,6 +125,9 @@
             if (ill > 0 && open) {
                 door.put("ill", ill);
             }
+            if (slow > 0 && open) {
+                door.put("slow", slow);
+            }
         });
         return doors;
     }
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -88,7 +88,7 @@
                 return others();
             }
         });
-        this.fleet = new Fleet(clock, settings.node(), settings.zone(), b.quiet() / 3);
+        this.fleet = new Fleet(clock, settings.node(), settings.zone(), b.quiet() / 3, gates::load);
         this.shadow = new Shadow(clock, b.apply() * 2 / 5, log);
         if (settings.edge()) {
             this.gate = null;
--- a/src/test/java/bramblespool/GateTest.java
+++ b/src/test/java/bramblespool/GateTest.java
@@ -231,4 +231,24 @@
         gate.check();
         assertEquals(0, gate.ill());
     }
+
+    /** A server that turns five times as slow says so within a few requests. */
+    @Test
+    void aServerThatTurnsSlowIsToldOfAndForgivenInTime() {
+        beat("i1", false, 0);
+        for (int i = 0; i < 60; i++) {
+            send(1, i % 2 == 0 ? 60 : 90);
+            world.run(120);
+        }
+        assertEquals(0, gate.slow(), "at its usual pace");
+        for (int i = 0; i < 20; i++) {
+            send(1, i % 2 == 0 ? 300 : 450);
+            world.run(200);
+        }
+        world.run(1000);
+        assertEquals(2, gate.slow(), "many times slower");
+        world.run(10_000);
+        gate.check();
+        assertEquals(0, gate.slow(), "and it is tried again");
+    }
 }
