--- a/src/main/java/bramblespool/Status.java
+++ b/src/main/java/bramblespool/Status.java
@@ -10,7 +10,9 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import picocli.CommandLine.Command;
@@ -27,6 +29,9 @@
     @Option(names = "--json", description = "print the answers as they came")
     private boolean json;
 
+    @Option(names = "--all", description = "list every weft and hem, not only those that deviate")
+    private boolean all;
+
     @Option(names = "--timeout", paramLabel = "MS", defaultValue = "2000",
             description = "how long to wait for each answer (${DEFAULT-VALUE})")
     private long timeoutMs;
@@ -54,14 +59,15 @@
                 System.err.println(a + ": no answer");
                 code = Main.FAILED;
             } else {
-                System.out.println(json ? n.get().toPrettyString() : text(a, n.get()));
+                System.out.println(json ? n.get().toPrettyString() : text(a, n.get(), all));
             }
         }
         System.exit(code);
         return code;
     }
 
-    private static String text(String address, JsonNode n) {
+    /** One daemon's answer for people; of the fleet a helm knows, sums first and then what deviates, or with {@code all} everything. */
+    static String text(String address, JsonNode n, boolean all) {
         StringBuilder s = new StringBuilder(address).append(": ").append(n.path("role").asText()).append(' ')
                 .append(n.path("node").asText()).append(" in ").append(n.path("zone").asText());
         line(s, "version in force", n.path("epoch"));
@@ -88,11 +94,52 @@
             }
         });
         n.path("duties").fields().forEachRemaining(d -> line(s, "duty " + d.getKey(), d.getValue()));
-        n.path("sides").fields().forEachRemaining(w -> line(s, w.getKey(), (w.getValue().path("member").asBoolean()
-                ? "member" : "no session") + doors(w.getValue().path("doors"))));
+        fleet(s, n.path("sides"), all);
         return s.toString();
     }
 
+    private static void fleet(StringBuilder s, JsonNode sides, boolean all) {
+        Map<String, int[]> zones = new TreeMap<>();
+        Map<String, int[]> services = new TreeMap<>();
+        StringBuilder listed = new StringBuilder();
+        sides.fields().forEachRemaining(e -> {
+            JsonNode side = e.getValue();
+            boolean member = side.path("member").asBoolean();
+            boolean gone = side.path("gone").asBoolean();
+            if (!gone) {
+                count(zones, side.path("zone").asText(), member);
+                side.path("doors").forEach(d -> count(services, d.path("target").asText(), member && d.path("open").asBoolean()));
+            }
+            String odd = gone ? "has left" : member ? odd(side.path("doors")) : "no session";
+            // One that has left is no trouble; it is remembered so that old news cannot bring it back.
+            if (all || !gone && !odd.isEmpty()) {
+                line(listed, e.getKey(), (odd.isEmpty() ? "member" : odd) + doors(side.path("doors")));
+            }
+        });
+        zones.forEach((z, c) -> line(s, "zone " + z, c[1] + " of " + c[0] + " sides have a session"));
+        services.forEach((t, c) -> line(s, "service " + t, c[1] + " of " + c[0] + " doors open"));
+        s.append(listed);
+    }
+
+    private static void count(Map<String, int[]> of, String key, boolean well) {
+        int[] c = of.computeIfAbsent(key, k -> new int[2]);
+        c[0]++;
+        c[1] += well ? 1 : 0;
+    }
+
+    /** What is unusual about a member's doors, or nothing. */
+    private static String odd(JsonNode doors) {
+        for (JsonNode d : doors) {
+            if (!d.path("open").asBoolean()) {
+                return d.path("servers").asText().isEmpty() ? "no server known" : "closed";
+            }
+            if (d.path("ill").asDouble() > 0) {
+                return "server fails a part of its requests";
+            }
+        }
+        return "";
+    }
+
     private static String doors(JsonNode doors) {
         StringBuilder s = new StringBuilder();
         for (JsonNode d : doors) {
--- a/src/main/java/bramblespool/state/Config.java
+++ b/src/main/java/bramblespool/state/Config.java
@@ -45,8 +45,12 @@
     public static final class Invalid extends Exception {
         private static final long serialVersionUID = 1L;
 
+        /** So many faults are named; of the others only how many there are. */
+        private static final int NAMED = 20;
+
         public Invalid(List<String> faults) {
-            super(String.join("; ", faults));
+            super(String.join("; ", faults.subList(0, Math.min(NAMED, faults.size())))
+                    + (faults.size() > NAMED ? "; and " + (faults.size() - NAMED) + " more" : ""));
         }
     }
 
