A helm that does not keep up says so and puts comparisons of news off

Votes, heartbeats, renewals and decisions are never left out. On the simulated cluster a helm with 14 ms for a message keeps its sessions and the group its leader; that shedding itself makes the difference could not be shown there, for a refused comparison costs the simulated processor as much as an answered one.

--- a/src/main/java/bramblespool/Status.java
+++ b/src/main/java/bramblespool/Status.java
@@ -84,6 +84,7 @@
         line(s, "leader", n.path("leader").isTextual() ? n.path("leader") : "none known");
         line(s, "term", n.path("term"));
         line(s, "phase of the commit", n.path("phase"));
+        line(s, "keeps up", n.path("strained").asBoolean() ? "no, timers come " + n.path("late").asLong() + " ms late" : "yes");
         line(s, "voters", n.path("voters"));
         if (n.path("leads").asBoolean()) {
             line(s, "unconfirmed", n.path("unconfirmed"));
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -41,6 +41,8 @@
     /** Key of the duty of leasing out a service's retry slack. */
     private static final String SLACK = "slack/";
     private static final int MOST_ASKED = 1000;
+    /** Ratio to {@code quiet} of the lateness from which a helm counts as not keeping up. */
+    private static final int BEHIND = 40;
     /** Renewals missed before a session is closed. */
     private static final double CLOSES = 2.6;
 
@@ -65,6 +67,7 @@
     private final Map<String, Long> published = new HashMap<>();
     private final long callMs;
     private final Duties duties;
+    private final Strain strain;
     private final Slack slack;
     /** Services whose slack somebody has asked for; only these need an owner. */
     private final Set<String> asked = new HashSet<>();
@@ -120,17 +123,23 @@
         }
         this.slack = new Slack(clock, b.retrySlack(), b.retryWindow());
         this.duties = new Duties(quorum, ledger, this::keys);
+        this.strain = new Strain(clock, b.quiet() / BEHIND, log);
     }
 
     public void start() {
         long renew = settings.bounds().quiet() / RENEWALS;
         tellSelf();
         quorum.start();
+        strain.start();
         clock.every(renew, () -> {
             sweep();
             quorum.join(helms());
         });
-        clock.every(renew, news::mend);
+        clock.every(renew, () -> {
+            if (!strain.strained()) {
+                news.mend();
+            }
+        });
         clock.every(renew / ROUNDS, this::dutyRound);
     }
 
@@ -446,7 +455,15 @@
 
     @Override
     public void serve(String kind, JsonNode m, Consumer<ObjectNode> answer) {
-        if (quorum.serve(kind, m, answer) || news.serve(kind, m, answer)) {
+        if (quorum.serve(kind, m, answer)) {
+            return;
+        }
+        if (strain.strained() && kind.equals(News.DIGEST)) {
+            // Whoever compares will ask again; what waits behind it cannot.
+            answer.accept(null);
+            return;
+        }
+        if (news.serve(kind, m, answer)) {
             return;
         }
         switch (kind) {
@@ -476,7 +493,8 @@
         ObjectNode n = JsonNodeFactory.instance.objectNode().put("role", "helm").put("node", settings.node())
                 .put("zone", settings.zone()).put("self", quorum.self()).put("term", quorum.term())
                 .put("leader", quorum.leaderId()).put("leads", quorum.leads()).put("epoch", ledger.current().epoch())
-                .put("phase", ledger.phase().name()).put("applied", quorum.applied());
+                .put("phase", ledger.phase().name()).put("applied", quorum.applied())
+                .put("late", strain.late()).put("strained", strain.strained());
         ArrayNode v = n.putArray("voters");
         quorum.voters().forEach(v::add);
         ArrayNode u = n.putArray("unconfirmed");
--- a/src/main/java/bramblespool/coordination/News.java
+++ b/src/main/java/bramblespool/coordination/News.java
@@ -50,6 +50,9 @@
         List<String> compare();
     }
 
+    /** The kind of message that compares what two daemons know. */
+    static final String DIGEST = "digest";
+
     /** What one other daemon is still to be told. */
     private static final class Outbox {
         final Map<String, Item> waiting = new LinkedHashMap<>();
@@ -205,7 +208,7 @@
         for (long h : branches) {
             b.add(brief(h));
         }
-        wire.call(to, "digest", m, callMs, a -> {
+        wire.call(to, DIGEST, m, callMs, a -> {
             if (a == null || a.path("same").asBoolean()) {
                 return;
             }
@@ -289,7 +292,7 @@
             answer.accept(out);
             return true;
         }
-        if (!kind.equals("digest")) {
+        if (!kind.equals(DIGEST)) {
             return false;
         }
         ObjectNode out = message();
--- a/src/test/java/bramblespool/HundredsTest.java
+++ b/src/test/java/bramblespool/HundredsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import bramblespool.coordination.HelmCore;
@@ -11,6 +12,8 @@
 import bramblespool.sim.SimMesh;
 import bramblespool.sim.SimWorld;
 import bramblespool.state.Ledger;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -159,6 +162,36 @@
         assertEquals(200, order(SimMesh.change(9, now, "three"), 1500).status(), "and changes go on");
     }
 
+    /** One helm has hardly the processor it needs: it sheds comparisons, keeps its sessions, and the group its leader. */
+    @Test
+    void aHelmThatDoesNotKeepUpShedsComparisonsAndNothingElse() {
+        mesh.world.run(8000);
+        String slow = mesh.helms.keySet().stream().filter(h -> !h.equals(Quorum.addressOf(mesh.leader().quorum.leaderId())))
+                .findFirst().orElseThrow();
+        long term = mesh.leader().quorum.term();
+        mesh.world.machine(slow).messageMs = 14;
+        int lost = 0;
+        boolean strained = false;
+        for (int t = 0; t < 60; t++) {
+            mesh.world.run(100);
+            lost = Math.max(lost, (int) mesh.wefts.values().stream().filter(w -> !w.sessionOpen()).count());
+            ObjectNode[] status = new ObjectNode[1];
+            mesh.helms.get(slow).serve("status", JsonNodeFactory.instance.objectNode(), n -> status[0] = n);
+            if (status[0].path("strained").asBoolean()) {
+                strained = true;
+                ObjectNode[] digest = new ObjectNode[] {status[0]};
+                mesh.helms.get(slow).serve("digest", JsonNodeFactory.instance.objectNode(), n -> digest[0] = n);
+                assertNull(digest[0], "a comparison waits for better times");
+            }
+        }
+        assertTrue(strained, "it says so");
+        assertEquals(0, lost, "sessions lost");
+        assertEquals(term, mesh.leader().quorum.term(), "no election");
+        mesh.world.machine(slow).messageMs = 14;
+        mesh.world.run(4000);
+        assertEquals(200, order(SimMesh.change(5, 0, "one"), 1000).status());
+    }
+
     /** A zone goes with its voter, and a voter of another zone with it: three of five are left. */
     @Test
     void aZoneAndAVoterElsewhereLeaveAMajority() {
--- a/src/test/java/bramblespool/sim/SimWorld.java
+++ b/src/test/java/bramblespool/sim/SimWorld.java
@@ -146,12 +146,23 @@
         @Override
         public Timer after(long ms, Runnable task) {
             boolean[] off = new boolean[1];
+            timer(ms, task, off);
+            return () -> off[0] = true;
+        }
+
+        /** A timer that comes due while the processor is busy goes off when it is free. */
+        private void timer(long ms, Runnable task, boolean[] off) {
             mine(ms, () -> {
-                if (!off[0]) {
+                if (off[0]) {
+                    return;
+                }
+                long wait = (long) (busyUntil - now);
+                if (wait > 0) {
+                    timer(wait, task, off);
+                } else {
                     task.run();
                 }
             });
-            return () -> off[0] = true;
         }
 
         @Override
