Rolling restarts: a weft lends its server until shortly before; calls name their service

Cause, by reading: at SIGTERM a weft told at once that it was gone, and its healthy server stood idle for two fifths of grace while nobody else can reach it; with a third of the wefts restarted in turn that is a part of the fleet's slots for nothing. It is not ready at once, but tells that it is gone only after 0.6 of that time, and from then on refuses calls with the promise that they have not run.

A call between wefts names its service: where an address has become another service's, a route split over both could have been run there. Test: SocketTest.aCallIsRunUnderItsMarkAndForItsServiceOrNotAtAll (fails without it for the other service), ClusterTest.aWeftThatIsToEndLendsItsServerUntilShortlyBefore. A weft without a session asks again three times a renewal at the least.

--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -36,8 +36,11 @@
     private static final int CALLS = 10;
     /** Renewals without an answer before the weft turns to another helm. */
     private static final int MISSES = 2;
-    /** How much sooner than at the next renewal a weft without a session tries again. */
+    /** How much sooner than at the next renewal a weft without a session tries again, at first and in the end. */
     private static final int HURRY = 12;
+    private static final int LEAST_HURRY = 3;
+    /** For this part of its last time a daemon that is to end goes on taking work for its servers. */
+    private static final double SERVES_ON = 0.6;
     /** After so many renewals elsewhere the helm of the own zone is tried again. */
     private static final int HOMEWARD = 10;
 
@@ -64,6 +67,7 @@
     /** The home helm that was tried while the session was elsewhere: it is tried at once when first heard of. */
     private String homeTried;
     private boolean gone;
+    private boolean retiring;
     private boolean fetching;
     private boolean hurrying;
     private long hurry;
@@ -129,7 +133,7 @@
     }
 
     public boolean ready() {
-        return !gone && shadow.real() != null && fleet.anyServer();
+        return !gone && !retiring && shadow.real() != null && fleet.anyServer();
     }
 
     public boolean sessionOpen() {
@@ -262,7 +266,7 @@
                         // so, for helms that are slow to answer are made slower by being asked.
                         hurrying = true;
                         long renewal = settings.bounds().quiet() / RENEWALS;
-                        hurry = Math.min(renewal, Math.max(renewal / HURRY, hurry * 2));
+                        hurry = Math.min(renewal / LEAST_HURRY, Math.max(renewal / HURRY, hurry * 2));
                         clock.after((long) (hurry * (0.5 + clock.chance())), () -> {
                             hurrying = false;
                             if (!sessionOpen) {
@@ -524,6 +528,20 @@
         return gate.beat(b);
     }
 
+    /**
+     * To end soon: not ready from now on, so that no new clients come, but its servers are well and nobody else can
+     * reach them, so others may send to them until shortly before.
+     */
+    public void retire(long withinMs) {
+        retiring = true;
+        clock.after((long) (withinMs * SERVES_ON), this::leave);
+    }
+
+    /** Whether it has told that it is gone: what is sent here all the same is refused. */
+    public boolean gone() {
+        return gone;
+    }
+
     /** Leaves: no more work comes here, and the session ends. */
     public void leave() {
         gone = true;
--- a/src/main/java/bramblespool/role/Inbound.java
+++ b/src/main/java/bramblespool/role/Inbound.java
@@ -14,6 +14,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 
 /** Calls from other daemons of the data plane: the mark chooses the version, the gate decides, the courier carries. */
 final class Inbound implements HttpHandler {
@@ -22,12 +23,14 @@
     private final Gates gates;
     private final Courier courier;
     private final ByteBufferPool buffers;
-    /** The one service of this machine's server, or null where callers name the service. */
+    /** The one service of this machine's server, or null where there are several: callers name the one they want. */
     private final String target;
     private final BiConsumer<String, String> marked;
+    private final BooleanSupplier gone;
 
     Inbound(Clock clock, Shadow shadow, Gates gates, Courier courier, ByteBufferPool buffers, String target,
-            BiConsumer<String, String> marked) {
+            BiConsumer<String, String> marked, BooleanSupplier gone) {
+        this.gone = gone;
         this.clock = clock;
         this.shadow = shadow;
         this.gates = gates;
@@ -78,12 +81,24 @@
         long deadline = clock.now() + left;
         String mark = x.getRequestHeaders().getFirst(Names.MARK);
         marked.accept(x.getRequestHeaders().getFirst(Names.FROM), mark);
-        String service = target != null ? target : x.getRequestHeaders().getFirst(Names.SERVICE);
+        String named = x.getRequestHeaders().getFirst(Names.SERVICE);
+        String service = named == null ? target : named;
+        if (target != null && !target.equals(service)) {
+            // This address was another service's before, and the caller has not heard.
+            refuse(x, target, "none", 0, false);
+            return;
+        }
         Way way = Way.of(shadow, gates, mark, x.getRequestHeaders().getFirst(Headers.HOST), Exchanges.path(x), service);
         if (way.gate == null) {
             refuse(x, service, way.why, 0, false);
             return;
         }
+        if (gone.getAsBoolean()) {
+            x.setPersistent(false);
+            x.getResponseHeaders().put(Headers.CONNECTION, "close");
+            refuse(x, service, "leaving", 0, false);
+            return;
+        }
         Stream.read(x.getRequestChannel(), buffers, Courier.BUFFERED, body -> {
             Courier.Parcel p = new Courier.Parcel(x.getRequestMethod(), Exchanges.target(x), x.getRequestHeaders(),
                     body, x.getRequestHeaders().getFirst(Names.ATTEMPT), caller(x), deadline);
--- a/src/main/java/bramblespool/role/Outbound.java
+++ b/src/main/java/bramblespool/role/Outbound.java
@@ -271,9 +271,8 @@
                 HeaderMap headers = new HeaderMap();
                 Names.copy(parcel.headers(), headers);
                 headers.put(Names.DEADLINE, Math.max(1, deadline - clock.now()));
-                if (target.isEmpty()) {
-                    headers.put(Names.SERVICE, service);
-                } else {
+                headers.put(Names.SERVICE, service);
+                if (!target.isEmpty()) {
                     headers.put(Names.CALLER, target);
                 }
                 headers.put(Names.MARK, mark);
--- a/src/main/java/bramblespool/role/Side.java
+++ b/src/main/java/bramblespool/role/Side.java
@@ -32,7 +32,6 @@
     private final Outbound outbound;
     private final HttpOpenListener clients;
     private Config.Limits limits = Config.Limits.UNSET;
-    private boolean stopping;
     private boolean said;
 
     /** {@code target}: the service of this machine's server, or null where there is none. */
@@ -61,7 +60,8 @@
                         core.behind();
                     }
                 }, log);
-        Inbound inbound = new Inbound(loop, core.shadow, core.gates, courier, ports.buffers(), target, core::marked);
+        Inbound inbound = new Inbound(loop, core.shadow, core.gates, courier, ports.buffers(), target, core::marked,
+                core::gone);
         ports.listen(s.peer(), wire, peerBounds());
         ports.listen(s.inbound(), inbound, Ports.bounds(CLIENT_HEADER, -1, PEER_IDLE_MS, PEER_IDLE_MS));
         ports.listen(s.ready(), this::readiness, peerBounds());
@@ -108,7 +108,7 @@
         } else if (!x.getRequestMethod().equals(Methods.GET)) {
             x.setStatusCode(405);
         } else {
-            x.setStatusCode(core.ready() && !stopping ? 200 : 503);
+            x.setStatusCode(core.ready() ? 200 : 503);
         }
     }
 
@@ -117,12 +117,11 @@
         core.settings(fresh);
     }
 
-    /** Not ready at once; goes on serving who still comes; then finishes what it holds. */
+    /** Not ready at once; goes on serving who still comes, and its servers with it; then finishes what it holds. */
     @Override
     public void stop(long grace, Runnable stopped) {
-        stopping = true;
         outbound.stopping();
-        core.leave();
+        core.retire(grace * 2 / 5);
         loop.after(grace * 2 / 5, () -> {
             ports.close();
             long until = loop.now() + grace * 2 / 5;
--- a/src/test/java/bramblespool/ClusterTest.java
+++ b/src/test/java/bramblespool/ClusterTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import bramblespool.coordination.Fleet;
 import bramblespool.coordination.HelmCore;
 import bramblespool.coordination.Quorum;
 import bramblespool.coordination.WeftCore;
@@ -13,10 +14,12 @@
 import bramblespool.state.Ledger;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -160,6 +163,35 @@
         assertTrue(back.ready());
     }
 
+    /** A rolling restart ends the weft, not its server: others send to it until shortly before, and nobody after. */
+    @Test
+    void aWeftThatIsToEndLendsItsServerUntilShortlyBefore() {
+        SimMesh mesh = new SimMesh(8, 3, 3);
+        mesh.world.run(4000);
+        order(mesh, 5, 0, "one");
+        mesh.world.run(500);
+        WeftCore ending = mesh.wefts.get(SimMesh.weftPeer(0));
+        WeftCore other = mesh.wefts.get(SimMesh.weftPeer(1));
+        ending.retire(2400);
+        assertFalse(ending.ready(), "no new clients");
+        mesh.world.run(1300);
+        assertTrue(offers(other, "weft-1"), "its server is still used");
+        mesh.world.run(300);
+        assertFalse(offers(other, "weft-1"), "told before it ends");
+    }
+
+    /** Whether a weft would send a request to that one's server. */
+    private static boolean offers(WeftCore from, String node) {
+        Set<Fleet.Door> seen = new HashSet<>();
+        for (Fleet.Door d = from.fleet.choose("desk", seen); d != null; d = from.fleet.choose("desk", seen)) {
+            if (d.at.node.equals(node)) {
+                return true;
+            }
+            seen.add(d);
+        }
+        return false;
+    }
+
     @Test
     void anEvacuationOutlivesEveryHelm() {
         SimMesh mesh = new SimMesh(7, 3, 6);
--- a/src/test/java/bramblespool/SocketTest.java
+++ b/src/test/java/bramblespool/SocketTest.java
@@ -290,4 +290,18 @@
         int second = got.indexOf("X-Attempt-Id: p2");
         assertTrue(first > 0 && second > first && got.indexOf("good") < second && got.endsWith("good"), got);
     }
+
+    /** Calls from other daemons: the mark is followed, and an address that was another service's runs nothing of it. */
+    @ParameterizedTest
+    @CsvSource({"0,desk,/a/ok,200,a", "0,shop,/a/ok,503,n", "0,,/a/ok,200,a", "0,desk,/b/ok,503,n", "t3,desk,/a/ok,200,a",
+        "t99,desk,/a/ok,503,n", "1,desk,/a/ok,503,n", ",desk,/a/ok,503,n"})
+    void aCallIsRunUnderItsMarkAndForItsServiceOrNotAtAll(String mark, String service, String path, int status, String verdict)
+            throws IOException {
+        int before = SEEN.size();
+        String got = exchange(WEFT, PORT[2], "GET " + path + " HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: c1\r\n"
+                + "X-Deadline-Ms: 1500\r\nX-Spool-From: peer\r\n" + (mark == null ? "" : "X-Spool-Mark: " + mark + "\r\n")
+                + (service == null ? "" : "X-Spool-Service: " + service + "\r\n") + "\r\n");
+        assertTrue(got.startsWith("HTTP/1.1 " + status + " ") && got.contains("X-Spool-Verdict: " + verdict + "\r\n"), got);
+        assertEquals(status == 200 ? 1 : 0, SEEN.size() - before, "what reached the server");
+    }
 }
