A version is its number and its document: an aborted candidate is never taken for another

Cause: two changes may carry one number. A candidate that had reached wefts and was aborted (its leader died before the decision) stayed in their shadow slot; where a rival of the same number was then decided, a weft that heard of the number by the news, or was taken through the phases by a later leader, put the one it had kept in force: a configuration that lost its race, in one part of the fleet only.

Phases, news and marks now name the document by a stamp besides its number; what does not match is fetched, or refused with the promise that it has not run. Messages without a stamp mean any of the number, so old and new daemons work together while they are replaced.

--- a/src/main/java/bramblespool/coordination/Commit.java
+++ b/src/main/java/bramblespool/coordination/Commit.java
@@ -271,7 +271,8 @@
     /** One phase, repeated for those who have not confirmed it; goes on with the silent ones left unconfirmed. */
     private void phase(int phase, long epoch, Set<String> wefts, int triesLeft, Consumer<Set<String>> then) {
         long mine = lead;
-        cells.phase(message(phase, ledger.previous().epoch(), epoch), wefts, times.phase, acks -> {
+        ObjectNode m = message(phase, ledger.previous().epoch(), epoch).put("stamp", Config.stamp(ledger.current().packed()));
+        cells.phase(m, wefts, times.phase, acks -> {
             if (mine != lead) {
                 return;
             }
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -1,6 +1,7 @@
 package bramblespool.coordination;
 
 import bramblespool.protocol.Orders;
+import bramblespool.state.Config;
 import bramblespool.state.Ledger;
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
@@ -411,7 +412,7 @@
     private void publish() {
         if (ledger.current().epoch() > 0) {
             news.tell(Fleet.ORDER, ledger.current().epoch(), ledger.phase().ordinal(),
-                    JsonNodeFactory.instance.objectNode().put("epoch", ledger.current().epoch())
+                    JsonNodeFactory.instance.objectNode().put("epoch", ledger.current().epoch()).put("stamp", Config.stamp(ledger.current().packed()))
                             .put("old", ledger.previous().epoch()).put("phase", ledger.phase().name()));
         }
         ledger.evacuations().forEach((zone, e) -> {
--- a/src/main/java/bramblespool/coordination/Shadow.java
+++ b/src/main/java/bramblespool/coordination/Shadow.java
@@ -16,6 +16,8 @@
 
     private static final String REAL = "0";
     private static final String TEST = "1";
+    /** The stamp of whoever means any document of a number. */
+    private static final String ANY = "";
 
     private final Clock clock;
     private final Log log;
@@ -58,7 +60,7 @@
 
     /** The mark for a call that starts here under the real version. */
     public String mark() {
-        return tagging ? "t" + epoch() : REAL;
+        return tagging ? real().tag() : REAL;
     }
 
     /** The version that a tag names, or -1 where the mark is no tag. */
@@ -66,8 +68,9 @@
         if (mark == null || !mark.startsWith("t")) {
             return -1;
         }
+        int stamp = mark.indexOf('-');
         try {
-            return Long.parseLong(mark.substring(1));
+            return Long.parseLong(mark.substring(1, stamp < 0 ? mark.length() : stamp));
         } catch (NumberFormatException e) {
             return -1;
         }
@@ -80,23 +83,24 @@
         }
         if (mark.equals(REAL)) {
             // While tags are in use an untagged call is from a weft that has not had TAG PACKET: it means C_old.
-            Config c = tagging && tagOld > 0 ? versioned(tagOld) : real();
+            Config c = tagging && tagOld > 0 ? versioned(tagOld, ANY) : real();
             return c == null ? null : new Choice(c, false);
         }
         if (mark.equals(TEST)) {
             return shadow() == null ? null : new Choice(shadow(), true);
         }
         long epoch = tagged(mark);
-        Config c = versioned(epoch);
+        int stamp = mark.indexOf('-');
+        Config c = versioned(epoch, stamp < 0 ? ANY : mark.substring(stamp + 1));
         if (c != null && !tagging && (epoch == tagOld || epoch == tagNew)) {
-            tagPacket(tagNew);
+            tagPacket(tagNew, ANY);
         }
         return c == null ? null : new Choice(c, false);
     }
 
-    private Config versioned(long epoch) {
+    private Config versioned(long epoch, String stamp) {
         for (Config c : installed) {
-            if (c != null && c.epoch == epoch) {
+            if (c != null && c.is(epoch, stamp)) {
                 return c;
             }
         }
@@ -132,9 +136,9 @@
     }
 
     /** Phase 2: calls are marked with tags from now on. */
-    public boolean tagPacket(long fresh) {
-        if (fresh != tagNew) {
-            return epoch() == fresh;
+    public boolean tagPacket(long fresh, String stamp) {
+        if (fresh != tagNew || versioned(fresh, stamp) == null) {
+            return real() != null && real().is(fresh, stamp);
         }
         cancel();
         tagging = true;
@@ -142,11 +146,11 @@
     }
 
     /** Phase 3: the map's entries are exchanged; the tags stay with their versions. */
-    public boolean swap(long fresh) {
+    public boolean swap(long fresh, String stamp) {
         if (epoch() == fresh) {
             return true;
         }
-        if (fresh != tagNew || shadow() == null || shadow().epoch != fresh) {
+        if (fresh != tagNew || shadow() == null || !shadow().is(fresh, stamp)) {
             return false;
         }
         cancel();
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -368,7 +368,7 @@
             });
             return;
         }
-        if (shadow.shadow() != null && shadow.shadow().epoch == epoch) {
+        if (shadow.shadow() != null && shadow.shadow().is(epoch, order.body().path("stamp").asText())) {
             shadow.adopt(shadow.shadow(), marked);
         } else {
             fetch(epoch, marked);
@@ -474,6 +474,7 @@
 
     private ObjectNode phase(JsonNode m) {
         long fresh = m.path("new").asLong();
+        String stamp = m.path("stamp").asText();
         ObjectNode out = JsonNodeFactory.instance.objectNode();
         switch (m.path("phase").asInt()) {
             case 0 -> {
@@ -494,10 +495,10 @@
                 }
             }
             case 2 -> {
-                return out.put("ok", shadow.tagPacket(fresh));
+                return out.put("ok", shadow.tagPacket(fresh, stamp));
             }
             case 3 -> {
-                return out.put("ok", shadow.swap(fresh));
+                return out.put("ok", shadow.swap(fresh, stamp));
             }
             case 4 -> {
                 return out.put("ok", shadow.markBit(fresh));
--- a/src/main/java/bramblespool/state/Config.java
+++ b/src/main/java/bramblespool/state/Config.java
@@ -58,6 +58,8 @@
     private static final String SERVICES = "serviceTable";
 
     public final long epoch;
+    /** Tells documents of one number apart: a change that lost its race from the one that won. */
+    public final String stamp;
     /** The document as it was sent, packed. */
     public final String packed;
     public final Map<String, Service> services;
@@ -73,6 +75,7 @@
             Map<String, List<Route>> hosts) {
         this.epoch = epoch;
         this.packed = packed;
+        this.stamp = stamp(packed);
         this.services = services;
         this.limits = limits;
         Map<String, Places> places = new HashMap<>();
@@ -91,6 +94,20 @@
         this.routeCount = n;
     }
 
+    public static String stamp(String packed) {
+        return Integer.toHexString(packed.hashCode());
+    }
+
+    /** The tag that names this version on calls. */
+    public String tag() {
+        return "t" + epoch + "-" + stamp;
+    }
+
+    /** Whether this is the document meant; who gives no stamp means any of that number. */
+    public boolean is(long number, String ofStamp) {
+        return epoch == number && (ofStamp.isEmpty() || ofStamp.equals(stamp));
+    }
+
     /** The longest prefix on the exact bytes of the path, or null. Every prefix ends with a slash. */
     public Route route(String host, String path) {
         Places places = byHost.get(hostKey(host));
--- a/src/test/java/bramblespool/ClusterTest.java
+++ b/src/test/java/bramblespool/ClusterTest.java
@@ -163,6 +163,39 @@
         assertTrue(back.ready());
     }
 
+    /**
+     * A candidate reaches the wefts and its leader dies before the decision; one weft is cut off before it hears of the
+     * end, and another change with the same number is decided without it. It must not take the one it kept.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {6, 9, 12, 15, 18, 21, 24})
+    void aCandidateThatWasAbortedIsNotTakenForAnotherOfItsNumber(int killedAfter) {
+        SimMesh mesh = new SimMesh(40 + killedAfter, 3, 6);
+        mesh.world.run(4000);
+        order(mesh, 5, 0, "one");
+        mesh.world.run(500);
+        mesh.order(SimMesh.change(7, 5, "lost"), o -> { });
+        mesh.world.run(killedAfter);
+        mesh.killHelm(Quorum.addressOf(mesh.leader().quorum.leaderId()), true);
+        String away = SimMesh.weftPeer(1);
+        mesh.world.isolate(away, true);
+        for (int i = 0; i < 100 && (mesh.leader() == null || mesh.leader().ledger().candidate() != null); i++) {
+            mesh.world.run(20);
+        }
+        boolean won = mesh.leader().ledger().current().epoch() == 5;
+        if (won) {
+            assertEquals(200, order(mesh, 7, 5, "won").status());
+            mesh.world.run(300);
+        }
+        mesh.world.isolate(away, false);
+        for (int i = 0; i < 200; i++) {
+            mesh.world.run(20);
+            mesh.wefts.forEach((p, w) -> assertTrue(w.shadow.epoch() < 7
+                    || (w.shadow.real().route("x.example", "/won/") != null) == won, p + " has a version that lost"));
+        }
+        epochs(mesh, 7);
+    }
+
     /** A rolling restart ends the weft, not its server: others send to it until shortly before, and nobody after. */
     @Test
     void aWeftThatIsToEndLendsItsServerUntilShortlyBefore() {
--- a/src/test/java/bramblespool/ShadowTest.java
+++ b/src/test/java/bramblespool/ShadowTest.java
@@ -1,6 +1,7 @@
 package bramblespool;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -45,11 +46,11 @@
         assertEquals("0", shadow.mark(), "tags are known, not used");
         assertEquals(7, named("1"));
         assertTrue(shadow.resolve("1").test(), "a marked test call");
-        assertTrue(shadow.tagPacket(7));
-        assertEquals("t5", shadow.mark());
+        assertTrue(shadow.tagPacket(7, config(7).stamp));
+        assertEquals(config(5).tag(), shadow.mark());
         assertEquals(5, named("0"), "an untagged call is of the old version");
-        assertTrue(shadow.swap(7));
-        assertEquals("t7", shadow.mark());
+        assertTrue(shadow.swap(7, config(7).stamp));
+        assertEquals(config(7).tag(), shadow.mark());
         assertEquals(5, named("t5"), "the tags are not swapped");
         assertEquals(5, named("0"), "a bit from one that has not had TAG PACKET still means C_old");
         assertTrue(shadow.markBit(7));
@@ -62,32 +63,44 @@
     void aTaggedCallActsAsTagPacket() {
         shadow.distribute(5, 7, config(7), 0);
         assertEquals(5, named("t5"));
-        assertEquals("t5", shadow.mark());
+        assertEquals(config(5).tag(), shadow.mark());
     }
 
     @Test
     void withoutTagPacketItRevertsAndAfterItDoesNot() {
         shadow.distribute(5, 7, config(7), 0);
         world.run(1500);
-        assertTrue(!shadow.tagPacket(7), "the tags are forgotten");
+        assertTrue(!shadow.tagPacket(7, config(7).stamp), "the tags are forgotten");
         assertEquals(5, shadow.epoch());
         shadow.distribute(5, 8, config(8), 0);
-        shadow.tagPacket(8);
+        shadow.tagPacket(8, config(8).stamp);
         world.run(1500);
-        assertTrue(shadow.swap(8), "past TAG PACKET it waits for what comes");
+        assertTrue(shadow.swap(8, config(8).stamp), "past TAG PACKET it waits for what comes");
     }
 
     @Test
     void anAbortCannotUndoWhatWasSwapped() {
         shadow.distribute(5, 7, config(7), 0);
-        shadow.tagPacket(7);
-        shadow.swap(7);
+        shadow.tagPacket(7, config(7).stamp);
+        shadow.swap(7, config(7).stamp);
         shadow.revert();
         assertEquals(7, shadow.epoch());
         shadow.adopt(config(6), true);
         assertEquals(7, shadow.epoch(), "never back within a life");
     }
 
+    /** Two changes of one number: the one kept from an aborted commit is not the one that was decided. */
+    @Test
+    void aCandidateOfTheSameNumberIsAnother() throws Config.Invalid {
+        Config other = Config.compile(SimMesh.document(7, 0, "other"));
+        shadow.distribute(5, 7, config(7), 0);
+        assertEquals(-1, named(other.tag()));
+        assertFalse(shadow.tagPacket(7, other.stamp));
+        assertFalse(shadow.swap(7, other.stamp));
+        assertEquals(5, shadow.epoch());
+        assertEquals(7, named(config(7).tag()));
+    }
+
     @Test
     void unknownMarksNameNothing() {
         assertEquals(-1, named("t99"));
