--- a/src/main/java/bramblespool/coordination/Gates.java
+++ b/src/main/java/bramblespool/coordination/Gates.java
@@ -12,9 +12,11 @@
 /** The gates of a data plane daemon, by service: a weft's one, or those of the servers a hem is steward of. */
 public final class Gates {
     private final Map<String, List<Gate>> byTarget = new LinkedHashMap<>();
+    private Config inForce;
 
     public void add(Gate g) {
         byTarget.computeIfAbsent(g.target(), t -> new ArrayList<>()).add(g);
+        warm(g);
     }
 
     public void remove(Gate g) {
@@ -50,11 +52,15 @@
         byTarget.values().forEach(l -> l.forEach(g -> g.evacuated(on)));
     }
 
+    /** The version in force, for the gates there are and for those still to come. */
     public void warming(Config config) {
-        byTarget.forEach((target, l) -> {
-            Config.Service s = config.services.get(target);
-            l.forEach(g -> g.warming(s == null ? 0 : s.warmPerS(), s == null ? 0 : s.warmup()));
-        });
+        inForce = config;
+        byTarget.values().forEach(l -> l.forEach(this::warm));
+    }
+
+    private void warm(Gate g) {
+        Config.Service s = inForce == null ? null : inForce.services.get(g.target());
+        g.warming(s == null ? 0 : s.warmPerS(), s == null ? 0 : s.warmup());
     }
 
     public int load() {
--- a/src/test/java/bramblespool/GateTest.java
+++ b/src/test/java/bramblespool/GateTest.java
@@ -8,9 +8,12 @@
 
 import bramblespool.coordination.Budget;
 import bramblespool.coordination.Gate;
+import bramblespool.coordination.Gates;
 import bramblespool.coordination.Slack;
 import bramblespool.protocol.Beat;
+import bramblespool.sim.SimMesh;
 import bramblespool.sim.SimWorld;
+import bramblespool.state.Config;
 import bramblespool.state.Log;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -86,6 +89,21 @@
         assertTrue(arrivals.size() > 30, "it still serves: " + arrivals.size());
     }
 
+    /** A steward's new gate: the version came before it, and its bound on cold servers holds here too. */
+    @Test
+    void aGateThatComesAfterTheConfigurationKnowsItsBound() throws Config.Invalid {
+        Gates gates = new Gates();
+        gates.warming(Config.compile(SimMesh.document(5, 0, "one")));
+        gate = new Gate(machine, new Gate.Rules(0, 0, 2500, 1.5, 5), "10.0.1.1:9000", "desk", () -> { }, Log.silent());
+        gates.add(gate);
+        gate.listed("i1", 6, false, 6000);
+        for (int i = 0; i < 100; i++) {
+            send(1, 5);
+            world.run(9);
+        }
+        assertTrue(!arrivals.isEmpty() && arrivals.size() <= 13 * 1.5 + 5, arrivals.size() + " in a second");
+    }
+
     @Test
     void afterAnEvacuationTheServerCountsAsColdUntilItsNextBeat() {
         beat("i1", false, 0);
