A restarted weft is a member at once; its session is a class of its own

Cause, by reading, then shown in a test: a weft that is back numbers its sessions from 1, and the helm knows a session of its last life under a higher number; it was refused and tried again, one number higher, a whole renewal later (a second at quiet 6 s), without configuration or news until then. The refusal now tells the number, and the weft asks again at once. ClusterTest.aWeftThatComesBackIsAMemberAtOnce fails without it at the second restart. Membership holds what WeftCore knew of its session.

--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -261,7 +261,7 @@
         }
         if (!renews) {
             if (known != null && (known.life() > life || known.life() == life && known.seq() >= n * 2)) {
-                return out.put("ok", false).put("life", known.life());
+                return out.put("ok", false).put("life", known.life()).put("n", known.seq() / 2);
             }
             s = new Session();
             s.peer = m.path("peer").asText();
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -12,7 +12,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -34,15 +33,8 @@
     /** Ratios to {@code quiet}. */
     private static final int RENEWALS = 6;
     private static final int CALLS = 10;
-    /** Renewals without an answer before the weft turns to another helm. */
-    private static final int MISSES = 2;
-    /** How much sooner than at the next renewal a weft without a session tries again, at first and in the end. */
-    private static final int HURRY = 12;
-    private static final int LEAST_HURRY = 3;
     /** For this part of its last time a daemon that is to end goes on taking work for its servers. */
     private static final double SERVES_ON = 0.6;
-    /** After so many renewals elsewhere the helm of the own zone is tried again. */
-    private static final int HOMEWARD = 10;
 
     private final Clock clock;
     private final Wire wire;
@@ -57,20 +49,11 @@
     /** A hem's servers; null in a weft. */
     private final Steward steward;
     public final Budget budget;
+    private final Membership membership;
     private final long callMs;
-    private String helm;
-    private boolean sessionOpen;
-    private long session;
-    private int misses;
-    private int renewals;
-    private int rotation;
-    /** The home helm that was tried while the session was elsewhere: it is tried at once when first heard of. */
-    private String homeTried;
     private boolean gone;
     private boolean retiring;
     private boolean fetching;
-    private boolean hurrying;
-    private long hurry;
     private final Set<String> pinging = new LinkedHashSet<>();
     private long lastTick;
 
@@ -92,6 +75,7 @@
                 return others();
             }
         });
+        this.membership = new Membership(() -> this.settings, news, clock, wire, callMs, b.quiet() / RENEWALS, log);
         this.fleet = new Fleet(clock, settings.node(), settings.zone(), b.quiet() / 3, gates::load);
         this.shadow = new Shadow(clock, b.apply() * 2 / 5, log);
         if (settings.edge()) {
@@ -112,7 +96,7 @@
     public void start() {
         long renew = settings.bounds().quiet() / RENEWALS;
         tellSelf();
-        renew();
+        membership.renew();
         clock.every(renew, () -> {
             long now = clock.now();
             if (lastTick > 0 && now - lastTick > renew * 3) {
@@ -121,7 +105,7 @@
             }
             lastTick = now;
             gates.check();
-            renew();
+            membership.renew();
             catchUp();
             budget.wanting().forEach(this::lease);
         });
@@ -137,11 +121,11 @@
     }
 
     public boolean sessionOpen() {
-        return sessionOpen;
+        return membership.open();
     }
 
     public String helm() {
-        return helm;
+        return membership.helm();
     }
 
     // ---- news
@@ -170,9 +154,9 @@
      */
     private Collection<String> circle(News.Source from) {
         Set<String> out = new LinkedHashSet<>();
-        if (sessionOpen && helm != null) {
+        if (sessionOpen()) {
             if (from != News.Source.CELL) {
-                out.add(helm);
+                out.add(helm());
             }
             if (from == News.Source.OWN) {
                 some(fleet.peerAddresses(true), FANOUT, out);
@@ -197,137 +181,18 @@
             return near;
         }
         List<String> out = fleet.peerAddresses(false);
-        out.addAll(helms());
+        out.addAll(Fleet.helms(news, settings));
         return out;
     }
 
-    private Set<String> helms() {
-        return Fleet.helms(news, settings);
-    }
-
-    // ---- the session
-
-    private String homeHelm() {
-        for (News.Item i : news.under(Fleet.HELM)) {
-            if (!i.body().path("gone").asBoolean() && i.body().path("zone").asText().equals(settings.zone())) {
-                return i.body().path("peer").asText();
-            }
-        }
-        return null;
-    }
-
-    /** The helm of the own zone; where that is unknown or silent the others in turn, each side in an order of its own. */
-    private void pickHelm() {
-        String home = homeHelm();
-        List<String> all = new ArrayList<>(helms());
-        if (home != null && !home.equals(helm)) {
-            homeTried = home;
-            helm = home;
-        } else if (!all.isEmpty()) {
-            all.sort(Comparator.comparingLong(h -> Rendezvous.weight(settings.node(), h)));
-            helm = all.get(rotation++ % all.size());
-        }
-        session++;
-        misses = 0;
-        renewals = 0;
-    }
-
-    private void renew() {
-        if (helm == null || misses >= MISSES) {
-            if (sessionOpen) {
-                log.say(Event.SESSION_LOST, "helm", helm);
-                sessionOpen = false;
-            }
-            pickHelm();
-        } else {
-            renewals++;
-            String home = homeHelm();
-            if (home != null && !home.equals(helm) && (!home.equals(homeTried) || renewals % HOMEWARD == 0 || !sessionOpen)) {
-                homeTried = home;
-                tryHome(home);
-            }
-        }
-        if (helm == null) {
-            return;
-        }
-        String to = helm;
-        wire.call(to, "session", sessionMessage(session, false), callMs, a -> {
-            if (!to.equals(helm)) {
-                return;
-            }
-            if (a == null) {
-                misses++;
-                if (!sessionOpen || misses >= MISSES) {
-                    misses = MISSES;
-                    if (sessionOpen) {
-                        renew();
-                    } else if (!hurrying) {
-                        // Without a session nothing is known for sure: the next helm is asked soon, but less and less
-                        // so, for helms that are slow to answer are made slower by being asked.
-                        hurrying = true;
-                        long renewal = settings.bounds().quiet() / RENEWALS;
-                        hurry = Math.min(renewal / LEAST_HURRY, Math.max(renewal / HURRY, hurry * 2));
-                        clock.after((long) (hurry * (0.5 + clock.chance())), () -> {
-                            hurrying = false;
-                            if (!sessionOpen) {
-                                renew();
-                            }
-                        });
-                    }
-                }
-                return;
-            }
-            renewed(a);
-        });
-    }
-
-    private ObjectNode sessionMessage(long number, boolean end) {
-        return JsonNodeFactory.instance.objectNode().put("node", settings.node()).put("peer", settings.peer())
-                .put("life", news.life()).put("n", number).put("hash", news.hash()).put("end", end);
-    }
-
-    private void renewed(JsonNode a) {
-        misses = 0;
-        hurry = 0;
-        if (!a.path("ok").asBoolean()) {
-            session++;
-            news.raise(a.path("life").asLong());
-            return;
-        }
-        if (!sessionOpen) {
-            sessionOpen = true;
-            log.say(Event.SESSION_OPEN, "helm", helm);
-        }
-        if (!a.path("same").asBoolean()) {
-            news.compare(helm);
-        }
-    }
-
-    /** The session here goes on under its own number until the one at home stands. */
-    private void tryHome(String home) {
-        long number = session + 1;
-        String from = helm;
-        wire.call(home, "session", sessionMessage(number, false), callMs, a -> {
-            if (!from.equals(helm) || session >= number) {
-                return;
-            }
-            if (a != null && a.path("ok").asBoolean()) {
-                session = number;
-                helm = home;
-                renewed(a);
-            } else {
-                // It may stand there all the same, and lapse: the session here must outrank that.
-                session = number + 1;
-            }
-        });
-    }
+    // ---- retry slack
 
     /** Asks for tries of a service's slack, for those to come. */
     private void lease(String service) {
-        if (!sessionOpen) {
+        if (!sessionOpen()) {
             return;
         }
-        wire.call(helm, "lease", JsonNodeFactory.instance.objectNode().put("service", service), callMs, a -> {
+        wire.call(helm(), "lease", JsonNodeFactory.instance.objectNode().put("service", service), callMs, a -> {
             if (a != null) {
                 // Counted from when it was asked for: the owner counts from no earlier.
                 budget.leased(service, a.path("tries").asInt(), clock.now() + a.path("life").asLong() - callMs);
@@ -380,8 +245,8 @@
             return;
         }
         List<String> from = new ArrayList<>();
-        if (helm != null && sessionOpen) {
-            from.add(helm);
+        if (sessionOpen()) {
+            from.add(helm());
         }
         List<String> all = others();
         while (from.size() < 4 && !all.isEmpty()) {
@@ -427,8 +292,8 @@
 
     /** A peer refused a call for its mark or route: one of the two may be behind. */
     public void behind() {
-        if (helm != null && !fetching) {
-            news.compare(helm);
+        if (helm() != null && !fetching) {
+            news.compare(helm());
         }
     }
 
@@ -512,7 +377,7 @@
     private ObjectNode status() {
         ObjectNode n = JsonNodeFactory.instance.objectNode().put("role", steward == null ? "weft" : "hem")
                 .put("node", settings.node()).put("zone", settings.zone()).put("epoch", shadow.epoch())
-                .put("tagging", shadow.tagging()).put("helm", helm).put("session", sessionOpen).put("ready", ready())
+                .put("tagging", shadow.tagging()).put("helm", helm()).put("session", sessionOpen()).put("ready", ready())
                 .put("open", gates.open()).put("load", gates.load()).put("capacity", gates.capacity())
                 .put("sides", fleet.sides());
         var servers = n.putArray("servers");
@@ -547,8 +412,6 @@
     public void leave() {
         gone = true;
         tellSelf();
-        if (helm != null) {
-            wire.call(helm, "session", sessionMessage(session, true), callMs, a -> { });
-        }
+        membership.end();
     }
 }
--- a/src/test/java/bramblespool/ClusterTest.java
+++ b/src/test/java/bramblespool/ClusterTest.java
@@ -196,6 +196,22 @@
         epochs(mesh, 7);
     }
 
+    /** Its last life had sessions of higher numbers: it is a member again, with the version in force, in a few messages. */
+    @Test
+    void aWeftThatComesBackIsAMemberAtOnce() {
+        SimMesh mesh = new SimMesh(9, 3, 4);
+        mesh.world.run(4000);
+        order(mesh, 5, 0, "one");
+        for (int again = 0; again < 3; again++) {
+            mesh.world.run(700);
+            mesh.killWeft(SimMesh.weftPeer(2));
+            mesh.startWeft(SimMesh.weftPeer(2));
+            mesh.world.run(60);
+            WeftCore back = mesh.wefts.get(SimMesh.weftPeer(2));
+            assertTrue(back.sessionOpen() && back.shadow.epoch() == 5, "after restart " + again);
+        }
+    }
+
     /** A rolling restart ends the weft, not its server: others send to it until shortly before, and nobody after. */
     @Test
     void aWeftThatIsToEndLendsItsServerUntilShortlyBefore() {
