--- a/src/main/java/bramblespool/transport/Loop.java
+++ b/src/main/java/bramblespool/transport/Loop.java
@@ -16,6 +16,28 @@
     /** XNIO's own threads keep small stacks; the deepest use is JSON of bounded depth. */
     private static final long STACK_BYTES = 512 << 10;
 
+    static {
+        // Nobody reads the libraries' management beans here, and the platform's server for them costs a fifth of a start.
+        // Whoever wants them sets these properties; what is set stands.
+        unlessSet("javax.management.builder.initial", NoBeans.class.getName());
+        unlessSet("jboss.threads.eqe.disable-mbean", "true");
+        unlessSet("org.jboss.logging.provider", "jdk");
+    }
+
+    private static void unlessSet(String property, String value) {
+        if (System.getProperty(property) == null) {
+            System.setProperty(property, value);
+        }
+    }
+
+    /** Makes no server for management beans; the libraries go on without. */
+    public static final class NoBeans extends javax.management.MBeanServerBuilder {
+        @Override
+        public javax.management.MBeanServerDelegate newMBeanServerDelegate() {
+            throw new UnsupportedOperationException("no management beans");
+        }
+    }
+
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final SplittableRandom chance = new SplittableRandom();
