Sides of a cell that is cut off from the other helms follow their version and evacuations in time

Now the leader tells a side that has not confirmed of the decided version itself; a renewal says whether the helm is in touch with who leads, and a side of one that is not compares news with another helm as well; a document is sought from other helms before near wefts.

--- a/src/main/java/bramblespool/coordination/Commit.java
+++ b/src/main/java/bramblespool/coordination/Commit.java
@@ -220,6 +220,8 @@
     /** The point of no return. */
     private void decide(Order o, Config config, Set<String> confirmed) {
         long mine = lead;
+        unconfirmed = new HashSet<>(members.get());
+        unconfirmed.removeAll(confirmed);
         quorum.propose(Ledger.entry("decide").put("epoch", config.epoch), ok -> {
             if (!ok || !ledger.taken(o.change.digest())) {
                 o.done.accept(Orders.Outcome.unclear("the lead was lost"));
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -273,7 +273,7 @@
             tellSession(node, s);
         }
         s.seen = clock.now();
-        return out.put("ok", true).put("same", news.hash().equals(m.path("hash").asText()));
+        return out.put("ok", true).put("touch", quorum.inTouch()).put("same", news.hash().equals(m.path("hash").asText()));
     }
 
     private void tellSession(String node, Session s) {
@@ -415,6 +415,7 @@
                     JsonNodeFactory.instance.objectNode().put("epoch", ledger.current().epoch()).put("stamp", Config.stamp(ledger.current().packed()))
                             .put("old", ledger.previous().epoch()).put("phase", ledger.phase().name()));
         }
+        tellUnconfirmed();
         ledger.evacuations().forEach((zone, e) -> {
             if (published.getOrDefault(zone, 0L) < e.index()) {
                 published.put(zone, e.index());
@@ -423,6 +424,20 @@
         });
     }
 
+    /** The cell of a side that has not confirmed may be cut off: the leader tells such a side itself. */
+    private void tellUnconfirmed() {
+        News.Item order = news.get(Fleet.ORDER);
+        if (!quorum.leads() || order == null) {
+            return;
+        }
+        for (String node : commit.unconfirmed()) {
+            News.Item session = news.get(Fleet.SESSION + node);
+            if (session != null && members.contains(node)) {
+                news.pass(session.body().path("weft").asText(), order);
+            }
+        }
+    }
+
     // ---- the operator
 
     public void change(Orders.Change change, Consumer<Orders.Outcome> done) {
--- a/src/main/java/bramblespool/coordination/Membership.java
+++ b/src/main/java/bramblespool/coordination/Membership.java
@@ -178,6 +178,18 @@
         if (!a.path("same").asBoolean()) {
             news.compare(helm);
         }
+        if (!a.path("touch").asBoolean(true)) {
+            compareElsewhere();
+        }
+    }
+
+    /** The helm here hears nothing of who leads, and may be cut off: another one is asked as well. */
+    private void compareElsewhere() {
+        List<String> others = new ArrayList<>(Fleet.helms(news, settings.get()));
+        others.remove(helm);
+        if (!others.isEmpty()) {
+            news.compare(others.get((int) (clock.chance() * others.size())));
+        }
     }
 
     /** The session here goes on under its own number until the one at home stands. */
--- a/src/main/java/bramblespool/coordination/News.java
+++ b/src/main/java/bramblespool/coordination/News.java
@@ -167,6 +167,13 @@
         }
     }
 
+    /** Tells one daemon of one item, whatever else it hears it from. */
+    public void pass(String to, Item i) {
+        Outbox box = outboxes.computeIfAbsent(to, t -> new Outbox());
+        box.waiting.put(i.key, i);
+        flush(to, box);
+    }
+
     /**
      * One message is under way to each daemon; what comes meanwhile waits and goes as one, the newest of each item. So
      * whoever is slow gets fewer messages with more in each, and nothing piles up on the way to it.
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -248,10 +248,13 @@
         if (sessionOpen()) {
             from.add(helm());
         }
-        List<String> all = others();
-        while (from.size() < 4 && !all.isEmpty()) {
-            from.add(all.remove((int) (clock.chance() * all.size())));
-        }
+        // Other helms have it, where the own one does not; near sides may be as far behind as this one.
+        List<String> helms = new ArrayList<>(Fleet.helms(news, settings));
+        helms.removeAll(from);
+        Set<String> more = new LinkedHashSet<>();
+        some(helms, 2, more);
+        some(others(), 2, more);
+        from.addAll(more);
         fetching = true;
         fetch(epoch, marked, from, 0);
     }
--- a/src/test/java/bramblespool/ClusterTest.java
+++ b/src/test/java/bramblespool/ClusterTest.java
@@ -73,6 +73,7 @@
         SimMesh mesh = new SimMesh(3, 3, 6);
         mesh.world.run(4000);
         order(mesh, 5, 0, "one");
+        mesh.world.run(500);
         String away = SimMesh.weftPeer(2);
         mesh.world.isolate(away, true);
         assertEquals(200, order(mesh, 6, 5, "two").status());
@@ -212,6 +213,32 @@
         }
     }
 
+    /** A cell is cut off from the other helms, its sides are not: they follow the others' version and evacuations in time. */
+    @ParameterizedTest
+    @ValueSource(longs = {51, 52, 53, 54, 55, 56, 57, 58})
+    void sidesOfACellThatIsCutOffFollowInTime(long seed) {
+        SimMesh mesh = new SimMesh(seed, 4, 8);
+        mesh.world.run(6000);
+        order(mesh, 5, 0, "one");
+        mesh.world.run(1000);
+        String cut = mesh.helms.keySet().stream()
+                .filter(h -> !h.equals(Quorum.addressOf(mesh.leader().quorum.leaderId()))).findFirst().orElseThrow();
+        for (String h : mesh.helms.keySet()) {
+            mesh.world.cut(cut, h, !h.equals(cut));
+            mesh.world.cut(h, cut, !h.equals(cut));
+        }
+        mesh.world.run(mesh.world.random.nextInt(1500));
+        assertEquals(200, order(mesh, 6, 5, "two").status());
+        assertEquals(200, order(mesh, 7, 6, "three").status());
+        mesh.world.run(2000);
+        epochs(mesh, 7);
+        boolean[] ok = new boolean[1];
+        mesh.leader().evacuate("b", true, r -> ok[0] = r);
+        mesh.world.run(3500);
+        assertTrue(ok[0]);
+        mesh.wefts.forEach((p, w) -> assertTrue(w.fleet.evacuated("b"), p + " has not heard of the evacuation"));
+    }
+
     /** A rolling restart ends the weft, not its server: others send to it until shortly before, and nobody after. */
     @Test
     void aWeftThatIsToEndLendsItsServerUntilShortlyBefore() {
