--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -433,7 +433,7 @@
         for (String node : commit.unconfirmed()) {
             News.Item session = news.get(Fleet.SESSION + node);
             if (session != null && members.contains(node)) {
-                news.pass(session.body().path("weft").asText(), order);
+                news.pass(session.body().path("weft").asText(), List.of(order));
             }
         }
     }
--- a/src/main/java/bramblespool/coordination/News.java
+++ b/src/main/java/bramblespool/coordination/News.java
@@ -161,16 +161,14 @@
             return;
         }
         for (String to : told) {
-            Outbox box = outboxes.computeIfAbsent(to, t -> new Outbox());
-            now.forEach(i -> box.waiting.put(i.key, i));
-            flush(to, box);
+            pass(to, now);
         }
     }
 
-    /** Tells one daemon of one item, whatever else it hears it from. */
-    public void pass(String to, Item i) {
+    /** Tells one daemon of these items, whoever else it may hear them from. */
+    public void pass(String to, Collection<Item> some) {
         Outbox box = outboxes.computeIfAbsent(to, t -> new Outbox());
-        box.waiting.put(i.key, i);
+        some.forEach(i -> box.waiting.put(i.key, i));
         flush(to, box);
     }
 
