--- a/src/main/java/bramblespool/coordination/Duties.java
+++ b/src/main/java/bramblespool/coordination/Duties.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /** Hands out the keyed duties as the leader: each key is held by a live helm, and changes hands with a higher fence. */
@@ -12,12 +13,15 @@
     private final Quorum quorum;
     private final Ledger ledger;
     private final Supplier<Collection<String>> keys;
+    /** Which keys are held under a right that lapses soon, so that they change hands sooner. */
+    private final Predicate<String> leased;
     private final Set<String> proposed = new HashSet<>();
 
-    Duties(Quorum quorum, Ledger ledger, Supplier<Collection<String>> keys) {
+    Duties(Quorum quorum, Ledger ledger, Supplier<Collection<String>> keys, Predicate<String> leased) {
         this.quorum = quorum;
         this.ledger = ledger;
         this.keys = keys;
+        this.leased = leased;
     }
 
     /** One round: what nobody alive holds is given away. */
@@ -26,10 +30,12 @@
             proposed.clear();
             return;
         }
-        List<String> alive = quorum.alive();
+        List<String> all = quorum.alive();
+        List<String> withRight = quorum.withRight();
         for (String key : keys.get()) {
             Ledger.Duty d = ledger.duties().get(key);
-            if (d != null && alive.contains(d.holder()) || !proposed.add(key)) {
+            List<String> alive = leased.test(key) ? withRight : all;
+            if (alive == null || d != null && alive.contains(d.holder()) || !proposed.add(key)) {
                 continue;
             }
             quorum.propose(Ledger.entry("duty").put("key", key).put("holder", Rendezvous.first(key, alive)),
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -72,6 +72,8 @@
     /** Whether this process founded its disk: nothing was ever granted before it. */
     private final boolean fresh;
     private boolean toldVoter;
+    /** Owners of slices that did not answer, and when. */
+    private final Map<String, Long> silentSince = new HashMap<>();
     private final Map<String, Session> sessions = new HashMap<>();
     private final Set<String> members = new HashSet<>();
     private final Map<String, Long> published = new HashMap<>();
@@ -137,7 +139,7 @@
             }
         }
         this.slack = new Slack(clock, b.retrySlack(), b.retryWindow());
-        this.duties = new Duties(quorum, ledger, this::keys);
+        this.duties = new Duties(quorum, ledger, this::keys, k -> k.startsWith(Admission.SLICE));
         this.strain = new Strain(clock, b.quiet() / BEHIND, log);
     }
 
@@ -207,14 +209,35 @@
         };
         String owner = owner(m.path("slice").asText());
         if (owner == null || owner.equals(settings.peer())) {
-            then.accept(token(m));
+            then.accept(orSpare(token(m), m));
+        } else if (clock.now() - silentSince.getOrDefault(owner, -callMs) < callMs) {
+            then.accept(orSpare(nobody(), m));
         } else {
             ObjectNode passed = JsonNodeFactory.instance.objectNode().put("slice", m.path("slice").asText())
                     .put("tenant", m.path("tenant").asText()).put("epoch", m.path("epoch").asLong())
                     .put("rate", m.path("rate").asDouble()).put("burst", m.path("burst").asDouble());
-            wire.call(owner, "token", passed, Math.min(callMs / 2, m.path("within").asLong()),
-                    a -> then.accept(a instanceof ObjectNode o ? o : JsonNodeFactory.instance.objectNode().put("verdict", "none")));
+            wire.call(owner, "token", passed, Math.max(1, m.path("within").asLong() / 3), a -> {
+                if (a == null) {
+                    silentSince.put(owner, clock.now());
+                }
+                then.accept(orSpare(a instanceof ObjectNode o ? o : nobody(), m));
+            });
+        }
+    }
+
+    private static ObjectNode nobody() {
+        return JsonNodeFactory.instance.objectNode().put("verdict", "none");
+    }
+
+    /** Where nobody can say for the owner, a voter grants its part of what the rule allows beyond the limit. */
+    private ObjectNode orSpare(ObjectNode token, JsonNode m) {
+        if (!"none".equals(token.path("verdict").asText()) || gone || !ledger.voters().containsKey(quorum.self())) {
+            return token;
         }
+        // One more than there are, for a change of voters that has not been heard of here.
+        boolean granted = quota.spare(m.path("tenant").asText(), ledger.voters().size() + 1, m.path("rate").asDouble(),
+                m.path("burst").asDouble());
+        return granted ? JsonNodeFactory.instance.objectNode().put("verdict", "go") : token;
     }
 
     /** Who holds a slice, or the leader, who gives it to somebody; null where nobody is known. */
@@ -228,7 +251,7 @@
         ObjectNode out = JsonNodeFactory.instance.objectNode();
         String slice = m.path("slice").asText();
         Ledger.Duty d = ledger.duties().get(slice);
-        if (d == null || !d.holder().equals(settings.peer()) || !quorum.inTouch() || gone) {
+        if (d == null || !d.holder().equals(settings.peer()) || !quorum.hasRight() || gone) {
             if (d == null && asked.size() < MOST_ASKED) {
                 asked.add(slice);
             }
@@ -246,7 +269,7 @@
             return;
         }
         registers.set(m.path("register").asText(), m.path("claim").asText(),
-                m.path("instead").isTextual() ? m.path("instead").asText() : null, Math.max(1, m.path("within").asLong()), r -> {
+                m.path("instead").isTextual() ? m.path("instead").asText() : null, Math.max(1, m.path("within").asLong() * 4 / 5), r -> {
             switch (r.outcome()) {
                 case WON -> out.put("verdict", "go");
                 case HELD -> out.put("verdict", "held").put("stands", r.value());
--- a/src/main/java/bramblespool/coordination/Quorum.java
+++ b/src/main/java/bramblespool/coordination/Quorum.java
@@ -57,6 +57,9 @@
         long heard;
         long ackedSent;
         boolean settled;
+        /** Messages sent to it, and the last one it has answered. */
+        long sent;
+        long answered;
 
         Peer(String id, long next, long now) {
             this.id = id;
@@ -72,6 +75,7 @@
     public static final String FOUNDER = "0";
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int ENTRIES_AT_ONCE = 64;
+    private static final int ANSWERS_KEPT = 8;
     /** Entries applied before the log is folded into a snapshot. */
     private static final int FOLD = 128;
 
@@ -105,6 +109,10 @@
     private final Map<String, Long> learners = new HashMap<>();
     private final Map<Long, Consumer<Boolean>> waiting = new HashMap<>();
     private final List<Read> reads = new ArrayList<>();
+    /** When this follower took which of its leader's messages, and since when its right counts. */
+    private final Map<Long, Long> answers = new HashMap<>();
+    private long rightTerm;
+    private long rightSince = Long.MIN_VALUE / 2;
 
     /** {@code losses}: how many disks may be lost at one time with nothing agreed lost and a majority left. */
     public Quorum(String self, String control, int founders, int losses, Vault.Saved saved, Clock clock, Wire wire, Vault vault,
@@ -192,6 +200,52 @@
         return leads() || role == Role.FOLLOWER && leader != null && clock.now() - leaderHeard < times.election * 2;
     }
 
+    /** Ratios to the election's time: how long the right to a leased duty lasts, and when others count it as lapsed. */
+    private static final double RIGHT = 0.7;
+    private static final double LAPSED = 0.8;
+    /** A new leader waits so long before it gives away what others may still have a right to. */
+    private static final double SETTLE = 0.5;
+
+    /**
+     * Whether this helm may go on with a duty that it holds for itself alone. A follower's right counts from its own answer
+     * to a message of the leader that the leader has received since; so a message that was late, or lay waiting while this
+     * process stood still, extends nothing. A leader grants it only while a majority answers, so that a right under an old
+     * leader is over shortly after a new one is elected.
+     */
+    public boolean hasRight() {
+        long now = clock.now();
+        return leads() ? now - majoritySince() < times.election * RIGHT
+                : role == Role.FOLLOWER && now - rightSince < times.election * RIGHT;
+    }
+
+    /** The addresses of the voters whose right may still stand, as the leader knows. Null: it is too early to say. */
+    public List<String> withRight() {
+        long now = clock.now();
+        if (!leads() || now - leadingSince < times.election * SETTLE) {
+            return null;
+        }
+        List<String> out = new ArrayList<>();
+        for (String v : voters()) {
+            Peer p = peers.get(v);
+            if (v.equals(self) || p != null && now - p.heard < times.election * LAPSED) {
+                out.add(addressOf(v));
+            }
+        }
+        return out;
+    }
+
+    /** Since when a majority is known to have taken this helm for the leader: when what it answered was sent. */
+    private long majoritySince() {
+        List<String> voters = voters();
+        long[] sent = new long[voters.size()];
+        for (int i = 0; i < sent.length; i++) {
+            Peer p = peers.get(voters.get(i));
+            sent[i] = voters.get(i).equals(self) ? clock.now() : p == null ? 0 : p.ackedSent;
+        }
+        java.util.Arrays.sort(sent);
+        return sent[sent.length - majority()];
+    }
+
     public List<String> voters() {
         for (int i = entries.size() - 1; i >= 0; i--) {
             String data = entries.get(i).data();
@@ -543,7 +597,9 @@
         p.again = false;
         long inTerm = term;
         long sentAt = clock.now();
-        ObjectNode m = message(p.id).put("term", term).put("control", control);
+        long number = ++p.sent;
+        ObjectNode m = message(p.id).put("term", term).put("control", control).put("n", number).put("answered", p.answered)
+                .put("right", clock.now() - majoritySince() < times.election * RIGHT);
         String kind;
         long upTo;
         if (p.next <= base.index()) {
@@ -576,6 +632,7 @@
                 return;
             }
             p.heard = clock.now();
+            p.answered = number;
             p.settled = a.path("settled").asBoolean();
             p.ackedSent = Math.max(p.ackedSent, sentAt);
             if (a.path("ok").asBoolean()) {
@@ -762,6 +819,7 @@
         leaderControl = m.path("control").asText();
         leaderHeard = clock.now();
         resetElection();
+        extendRight(m);
         if (kind.equals("snap")) {
             install(m, answer);
         } else {
@@ -769,6 +827,20 @@
         }
     }
 
+    private void extendRight(JsonNode m) {
+        long n = m.path("n").asLong();
+        if (rightTerm != term) {
+            rightTerm = term;
+            answers.clear();
+        }
+        Long answeredAt = answers.get(m.path("answered").asLong());
+        if (answeredAt != null && m.path("right").asBoolean()) {
+            rightSince = Math.max(rightSince, answeredAt);
+        }
+        answers.keySet().removeIf(k -> k < n - ANSWERS_KEPT);
+        answers.put(n, clock.now());
+    }
+
     private void appendAsked(JsonNode m, Consumer<ObjectNode> answer) {
         long prev = m.path("prevIndex").asLong();
         if (prev > last() || prev >= base.index() && termAt(prev) != m.path("prevTerm").asLong()) {
--- a/src/main/java/bramblespool/coordination/Quota.java
+++ b/src/main/java/bramblespool/coordination/Quota.java
@@ -11,8 +11,12 @@
  * bucket; by then the other's right has lapsed.
  */
 public final class Quota {
-    /** The part of what the rule allows beyond the limit that is granted, so that a limit is reached in full. */
-    private static final double EXCESS_SHARE = 0.5;
+    /**
+     * Of what the rule allows beyond the limit, a part is granted by the owner, so that a limit is reached in full, and a
+     * part by the other voters together, one share each, while there is no owner.
+     */
+    private static final double OWNER_SHARE = 0.2;
+    private static final double SPARE_SHARE = 0.75;
     /** No side asks for a tenant at its limit again before this part of the window, and after twice that all do. */
     private static final int LEAST_WAIT = 100;
     private static final int MOST_WAIT = 25;
@@ -31,13 +35,16 @@
     private final long windowMs;
     private final double excess;
     private final double slack;
+    private final long born;
     private final Map<String, Bucket> buckets = new HashMap<>();
+    private final Map<String, Bucket> spares = new HashMap<>();
 
     public Quota(Clock clock, long windowMs, double excess, double slack) {
         this.clock = clock;
         this.windowMs = windowMs;
         this.excess = excess;
         this.slack = slack;
+        this.born = clock.now();
     }
 
     /**
@@ -58,7 +65,7 @@
             b.tokens = fresh ? cap(b) : 1;
             b.at = now;
         }
-        b.tokens = Math.min(cap(b), b.tokens + (now - b.at) / 1000.0 * b.ratePerS * (1 + excess * EXCESS_SHARE));
+        b.tokens = Math.min(cap(b), b.tokens + (now - b.at) / 1000.0 * b.ratePerS * (1 + excess * OWNER_SHARE));
         b.at = now;
         if (b.tokens >= 1) {
             b.tokens--;
@@ -69,8 +76,32 @@
         return Math.max(windowMs / LEAST_WAIT, Math.min(refill, windowMs / MOST_WAIT)) + (long) (clock.chance() * windowMs / LEAST_WAIT);
     }
 
+    /**
+     * Takes a token where there is no owner to ask: one of this voter's share, which is filled again once in each window.
+     * What is saved up and what comes in a window are half of the share each, so no window sees more than the share.
+     */
+    public boolean spare(String tenant, int sharers, double ratePerS, double burst) {
+        long now = clock.now();
+        double share = ((ratePerS * windowMs / 1000 + burst) * excess + slack) * SPARE_SHARE / sharers;
+        Bucket b = spares.get(tenant);
+        if (b == null) {
+            b = new Bucket();
+            // A new process does not know what an earlier one has spent.
+            b.tokens = 0;
+            b.at = Math.max(born, now - windowMs);
+            spares.put(tenant, b);
+        }
+        b.tokens = Math.min(share / 2, b.tokens + (double) (now - b.at) / windowMs * share / 2);
+        b.at = now;
+        if (b.tokens < 1) {
+            return false;
+        }
+        b.tokens--;
+        return true;
+    }
+
     private double cap(Bucket b) {
-        return Math.max(1, b.burst + slack * EXCESS_SHARE);
+        return Math.max(1, b.burst + slack * OWNER_SHARE);
     }
 
     /** How often tenants were over their limit here. */
