--- a/src/main/java/bramblespool/role/Entry.java
+++ b/src/main/java/bramblespool/coordination/Entry.java
@@ -1,10 +1,7 @@
-package bramblespool.role;
+package bramblespool.coordination;
 
-import bramblespool.coordination.Admission;
-import bramblespool.coordination.Operations;
 import bramblespool.coordination.Operations.Operation;
 import bramblespool.coordination.Operations.State;
-import bramblespool.coordination.WeftCore;
 import bramblespool.state.Config;
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
@@ -14,15 +11,15 @@
 import java.util.List;
 
 /** What a request must get past before it is sent anywhere: its tenant's limit, and the claim of its operation key. */
-final class Entry {
+public final class Entry {
     /** Whose request it is, and which operation; {@code limited} is null without a limit, {@code register} without a key. */
-    record Who(String tenant, Config.Tenant limited, long epoch, String register, long print) {
+    public record Who(String tenant, Config.Tenant limited, long epoch, String register, long print) {
         boolean passes() {
             return limited == null && register == null;
         }
     }
 
-    interface Taker {
+    public interface Taker {
         /** It may be sent; whoever sends it tells what comes of the operation, if there is one. */
         void go(Operation operation);
 
@@ -38,12 +35,12 @@
     private final WeftCore core;
     private final Log log;
 
-    Entry(WeftCore core, Log log) {
+    public Entry(WeftCore core, Log log) {
         this.core = core;
         this.log = log;
     }
 
-    void enter(Who who, long withinMs, Taker taker) {
+    public void enter(Who who, long withinMs, Taker taker) {
         if (who.passes()) {
             taker.go(null);
             return;
--- a/src/main/java/bramblespool/role/Outbound.java
+++ b/src/main/java/bramblespool/role/Outbound.java
@@ -2,6 +2,7 @@
 
 import bramblespool.coordination.Admission;
 import bramblespool.coordination.Budget;
+import bramblespool.coordination.Entry;
 import bramblespool.coordination.Fleet;
 import bramblespool.coordination.Gates;
 import bramblespool.coordination.Operations;
--- a/src/test/java/bramblespool/SocketTest.java
+++ b/src/test/java/bramblespool/SocketTest.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Framing and headers on real sockets: one helm, one weft and a server that misbehaves where the path says so. */
 class SocketTest {
@@ -65,7 +66,12 @@
             up.countDown();
         });
         up.await();
-        String config = SimMesh.document(3, 0, "a").replace("\"idempotent\"", "\"mutating\"");
+        // The first route is open to all; the others want a key, and one of them an operation key as well.
+        String config = SimMesh.document(3, 0, "a").replace("\"idempotent\"", "\"mutating\"").replace("\"target\"]", "\"target\",\"public\"]")
+                .replace("\"desk\"]]", "\"desk\",true],[\"s\",\"x.example\",\"/s/\",\"idempotent\",\"1500ms\",\"600ms\",1,null,2,\"desk\",false],"
+                        + "[\"k\",\"x.example\",\"/k/\",\"keyed\",\"1500ms\",\"600ms\",1,null,2,\"desk\",false]]")
+                .replace("\"limits\"", "\"principals\":{\"columns\":[\"name\",\"apiKeys\",\"rank\",\"ratePerS\",\"burst\"],"
+                        + "\"rows\":[[\"many\",[\"key-1\",\"key-2\"],0,null,null],[\"few\",[\"key-3\"],null,0.01,2]]},\"limits\"");
         until(() -> exchange(HELM, PORT[1], post("/bramblespool/config/replace", config)), "HTTP/1.1 200");
         String beat = "{\"target\":\"desk\",\"address\":\"" + WEFT + ":" + PORT[0]
                 + "\",\"zone\":\"z\",\"capacity\":4,\"state\":\"ready\",\"warmupLeft\":\"0ms\",\"callSeq\":1}";
@@ -304,4 +310,74 @@
         assertTrue(got.startsWith("HTTP/1.1 " + status + " ") && got.contains("X-Spool-Verdict: " + verdict + "\r\n"), got);
         assertEquals(status == 200 ? 1 : 0, SEEN.size() - before, "what reached the server");
     }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"/s/ok||401|", "/s/ok|Authorization: Token none\\r\\n|401|", "/s/ok|Authorization: key-1\\r\\n|401|",
+        "/s/ok|Authorization: Token key-1\\r\\nAuthorization: Token key-2\\r\\n|401|",
+        "/s/ok|Authorization: Token key-2\\r\\nX-Tenant: boss\\r\\nConnection: X-Tenant\\r\\n|200|many", "/a/ok|X-Tenant: boss\\r\\n|200|",
+        "/a/ok|Authorization: token key-1\\r\\n|200|many", "/a/ok|Authorization: Token none\\r\\n|401|"})
+    void whoseRequestItIsOnlyTheKeyTells(String path, String headers, int status, String tenant) throws IOException {
+        int before = SEEN.size();
+        String got = request(path, headers == null ? "" : headers.replace("\\r\\n", "\r\n"));
+        assertTrue(got.startsWith("HTTP/1.1 " + status + " "), got);
+        assertEquals(status == 200 ? 1 : 0, SEEN.size() - before);
+        if (status == 200) {
+            String seen = SEEN.get(before);
+            assertFalse(seen.contains("key-") || seen.contains("boss"), seen);
+            assertEquals(tenant != null, seen.contains("X-Tenant: " + tenant + "\r\n"), seen);
+        }
+    }
+
+    private static String keyed(String path, String tries, String keys, String body) throws IOException {
+        return exchange(WEFT, PORT[3], "POST " + path + " HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: " + tries
+                + "\r\nX-Deadline-Ms: 1500\r\nAuthorization: Token key-1\r\n" + keys + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    @Test
+    void aRepeatGetsTheFirstAnswerAndRunsNothing() throws IOException {
+        int before = SEEN.size();
+        String key = "X-Operation-Key: op-1\r\n";
+        String first = keyed("/k/ok", "t1", key, "body");
+        String second = keyed("/k/ok", "t2", key, "body");
+        assertTrue(first.startsWith("HTTP/1.1 200") && first.contains("X-Attempt-Id: t1\r\n") && first.endsWith("good"), first);
+        assertTrue(second.startsWith("HTTP/1.1 200") && second.contains("X-Attempt-Id: t2\r\n") && second.contains("X-Server-Seal: s\r\n")
+                && second.endsWith("good"), second);
+        assertEquals(1, SEEN.size() - before, "it ran once");
+        String other = keyed("/k/ok", "t3", key, "another body");
+        assertTrue(other.startsWith("HTTP/1.1 422 "), other);
+        assertEquals(1, SEEN.size() - before, "a key used for another request runs nothing");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"short,502,409,1", "shed,503,503,2", "other,502,409,1"})
+    void whatMayHaveRunStaysShutAndWhatHasNotMayBeTriedAgain(String how, int first, int second, int runs) throws IOException {
+        int before = SEEN.size();
+        String key = "X-Operation-Key: op-" + how + "\r\n";
+        String one = keyed("/k/" + how, "u1", key, "");
+        String two = keyed("/k/" + how, "u2", key, "");
+        assertTrue(one.startsWith("HTTP/1.1 " + first + " "), one);
+        assertTrue(two.startsWith("HTTP/1.1 " + second + " "), two);
+        assertEquals(runs, SEEN.size() - before);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "X-Operation-Key: a\r\nX-Operation-Key: b\r\n", "X-Operation-Key: a b\r\n"})
+    void aKeyedRequestWithoutASoundKeyIsRefused(String keys) throws IOException {
+        int before = SEEN.size();
+        String got = keyed("/k/ok", "v1", keys, "");
+        assertTrue(got.startsWith("HTTP/1.1 400 "), got);
+        assertEquals(before, SEEN.size());
+    }
+
+    @Test
+    void overItsLimitATenantIsTold429() throws IOException {
+        int before = SEEN.size();
+        String last = "";
+        for (int i = 0; i < 8; i++) {
+            last = request("/s/few", "Authorization: Token key-3\r\n");
+        }
+        assertTrue(last.startsWith("HTTP/1.1 429 ") && last.contains("Retry-After: "), last);
+        assertEquals(6, SEEN.size() - before, "a burst of two, and a fifth of a slack of twenty");
+        assertTrue(request("/s/many", "Authorization: Token key-1\r\n").startsWith("HTTP/1.1 200"), "another tenant has its own");
+    }
 }
--- a/src/test/java/bramblespool/sim/SimMesh.java
+++ b/src/test/java/bramblespool/sim/SimMesh.java
@@ -37,6 +37,8 @@
             retryWindow = "10s"
             retrySlack = 60
             evac = "5s"
+            quotaExcess = 0.1
+            quotaSlack = 20
             """;
     public static final String[] ZONES = {"a", "b", "c", "d", "e", "f"};
     private final int zones;
--- a/src/test/java/bramblespool/sim/SimWorld.java
+++ b/src/test/java/bramblespool/sim/SimWorld.java
@@ -129,6 +129,11 @@
             disk.crash(power);
         }
 
+        /** Its processes stand still for so long; what comes meanwhile waits. */
+        public void freeze(long ms) {
+            busyUntil = Math.max(busyUntil, now + ms);
+        }
+
         void mine(long ms, Runnable task) {
             int then = life;
             at(ms, () -> {
