--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -72,6 +72,7 @@
     /** Whether this process founded its disk: nothing was ever granted before it. */
     private final boolean fresh;
     private boolean toldVoter;
+    private boolean rightLapsed;
     /** Owners of slices that did not answer, and when. */
     private final Map<String, Long> silentSince = new HashMap<>();
     private final Map<String, Session> sessions = new HashMap<>();
@@ -279,8 +280,20 @@
         });
     }
 
+    /** Says when slices held here can no longer be served under their lease, and when they can again. */
+    private void tellRight() {
+        long slices = ledger.duties().entrySet().stream().filter(e -> e.getKey().startsWith(Admission.SLICE)
+                && e.getValue().holder().equals(settings.peer())).count();
+        boolean lapsed = slices > 0 && !quorum.hasRight();
+        if (lapsed != rightLapsed) {
+            rightLapsed = lapsed;
+            log.say(lapsed ? Event.RIGHT_LAPSED : Event.RIGHT_BACK, "slices", slices, "late", strain.late());
+        }
+    }
+
     private void dutyRound() {
         duties.check();
+        tellRight();
         boolean inTouch = quorum.inTouch();
         rosters.forEach((zone, r) -> {
             Ledger.Duty d = ledger.duties().get(LIST + zone);
