--- a/src/main/java/bramblespool/coordination/Quorum.java
+++ b/src/main/java/bramblespool/coordination/Quorum.java
@@ -105,6 +105,8 @@
     private boolean ready;
     private boolean stopped;
     private long leadingSince;
+    /** What {@link #voters} found; null after entries have changed. */
+    private List<String> newestVoters;
     private final Map<String, Peer> peers = new LinkedHashMap<>();
     private final Map<String, Long> learners = new HashMap<>();
     private final Map<Long, Consumer<Boolean>> waiting = new HashMap<>();
@@ -138,6 +140,7 @@
         for (Vault.Entry e : saved.entries()) {
             if (e.index() == last() + 1) {
                 entries.add(e);
+                newestVoters = null;
             }
         }
         this.durable = last();
@@ -246,7 +249,15 @@
         return sent[sent.length - majority()];
     }
 
+    /** The voters as the newest entry that names them says, agreed or not. */
     public List<String> voters() {
+        if (newestVoters == null) {
+            newestVoters = List.copyOf(findVoters());
+        }
+        return newestVoters;
+    }
+
+    private List<String> findVoters() {
         for (int i = entries.size() - 1; i >= 0; i--) {
             String data = entries.get(i).data();
             if (data.startsWith("{\"k\":\"members\"")) {
@@ -471,6 +482,7 @@
     private void append(ObjectNode entry, Consumer<Boolean> done) {
         Vault.Entry e = new Vault.Entry(last() + 1, term, entry.toString());
         entries.add(e);
+        newestVoters = null;
         waiting.put(e.index(), done);
         long inTerm = term;
         persist(0, List.of(e), null, () -> {
@@ -557,6 +569,7 @@
         }
         base = new Vault.Snapshot(applied, termAt(applied), votersThen, machine.snapshot().toString());
         entries.subList(0, n).clear();
+        newestVoters = null;
         persist(0, List.of(), base, () -> { });
         log.say(Event.SNAPSHOT_TAKEN, "index", base.index());
     }
@@ -860,10 +873,12 @@
                 truncate = at;
                 durable = Math.min(durable, at - 1);
                 entries.subList((int) (at - base.index() - 1), entries.size()).clear();
+                newestVoters = null;
             }
             if (at > last()) {
                 Vault.Entry e = new Vault.Entry(at, et, n.path("data").asText());
                 entries.add(e);
+                newestVoters = null;
                 added.add(e);
             }
         }
@@ -891,6 +906,7 @@
         m.path("voters").forEach(v -> voters.add(v.asText()));
         base = new Vault.Snapshot(index, m.path("lastTerm").asLong(), voters, m.path("data").asText());
         entries.clear();
+        newestVoters = null;
         commit = index;
         applied = index;
         machine.restore(parse(base.data()));
