--- a/src/main/java/bramblespool/coordination/Duties.java
+++ b/src/main/java/bramblespool/coordination/Duties.java
@@ -24,6 +24,14 @@
         this.leased = leased;
     }
 
+    /** Gives a duty to its holder once more, under a higher fence, where the one named is still in force. */
+    void raise(String key, long fence) {
+        Ledger.Duty d = ledger.duties().get(key);
+        if (quorum.leads() && d != null && d.fence() == fence && proposed.add(key)) {
+            quorum.propose(Ledger.entry("duty").put("key", key).put("holder", d.holder()), ok -> proposed.remove(key));
+        }
+    }
+
     /** One round: what nobody alive holds is given away. */
     void check() {
         if (!quorum.leads()) {
@@ -35,7 +43,7 @@
         for (String key : keys.get()) {
             Ledger.Duty d = ledger.duties().get(key);
             List<String> alive = leased.test(key) ? withRight : all;
-            if (alive == null || d != null && alive.contains(d.holder()) || !proposed.add(key)) {
+            if (d != null && alive.contains(d.holder()) || !proposed.add(key)) {
                 continue;
             }
             quorum.propose(Ledger.entry("duty").put("key", key).put("holder", Rendezvous.first(key, alive)),
--- a/src/main/java/bramblespool/coordination/Quorum.java
+++ b/src/main/java/bramblespool/coordination/Quorum.java
@@ -114,6 +114,8 @@
     /** When this follower took which of its leader's messages, and since when its right counts. */
     private final Map<Long, Long> answers = new HashMap<>();
     private long rightTerm;
+    private String lastLeader;
+    private long lastLeaderTerm;
     private long rightSince = Long.MIN_VALUE / 2;
 
     /** {@code losses}: how many disks may be lost at one time with nothing agreed lost and a majority left. */
@@ -203,11 +205,18 @@
         return leads() || role == Role.FOLLOWER && leader != null && clock.now() - leaderHeard < times.election * 2;
     }
 
-    /** Ratios to the election's time: how long the right to a leased duty lasts, and when others count it as lapsed. */
-    private static final double RIGHT = 0.7;
-    private static final double LAPSED = 0.8;
-    /** A new leader waits so long before it gives away what others may still have a right to. */
-    private static final double SETTLE = 0.5;
+    /**
+     * Ratios to the election's time: how long the right to a leased duty lasts, so long that it outlives the election after
+     * a leader's death, and when others count it as lapsed.
+     */
+    private static final double RIGHT = 2;
+    private static final double LAPSED = 2.2;
+    /**
+     * Who voted for a new leader had heard the last one no later than an election's time before, so no majority had. The
+     * last leader's own right may stand for the rest of RIGHT; that of those it went on speaking to, for RIGHT more.
+     */
+    private static final double OLD_LEADER = RIGHT - 1 + LAPSED - RIGHT;
+    private static final double OLD_FOLLOWER = 2 * RIGHT - 1 + LAPSED - RIGHT;
 
     /**
      * Whether this helm may go on with a duty that it holds for itself alone. A follower's right counts from its own answer
@@ -221,22 +230,25 @@
                 : role == Role.FOLLOWER && now - rightSince < times.election * RIGHT;
     }
 
-    /** The addresses of the voters whose right may still stand, as the leader knows. Null: it is too early to say. */
+    /** The addresses of the voters whose right may still stand, as the leader knows. */
     public List<String> withRight() {
-        long now = clock.now();
-        if (!leads() || now - leadingSince < times.election * SETTLE) {
-            return null;
-        }
         List<String> out = new ArrayList<>();
         for (String v : voters()) {
             Peer p = peers.get(v);
-            if (v.equals(self) || p != null && now - p.heard < times.election * LAPSED) {
+            if (v.equals(self) || clock.now() < rightEnds(v, p)) {
                 out.add(addressOf(v));
             }
         }
         return out;
     }
 
+    private double rightEnds(String voter, Peer p) {
+        boolean led = voter.equals(lastLeader) && term == lastLeaderTerm + 1;
+        double before = leadingSince + times.election * (led ? OLD_LEADER : OLD_FOLLOWER);
+        // Whoever has answered this leader has none under the last one.
+        return p == null || p.answered == 0 ? before : p.heard + times.election * LAPSED;
+    }
+
     /** Since when a majority is known to have taken this helm for the leader: when what it answered was sent. */
     private long majoritySince() {
         List<String> voters = voters();
@@ -829,6 +841,8 @@
             stepDown(t, "another leads");
         }
         leader = m.path("from").asText();
+        lastLeader = leader;
+        lastLeaderTerm = t;
         leaderControl = m.path("control").asText();
         leaderHeard = clock.now();
         resetElection();
