--- a/src/main/java/bramblespool/Status.java
+++ b/src/main/java/bramblespool/Status.java
@@ -77,6 +77,8 @@
             line(s, "servers", n.path("servers").isEmpty() ? "none known" : n.path("servers") + ", "
                     + (n.path("open").asBoolean() ? "open" : "closed") + ", " + n.path("load").asInt() + " of "
                     + n.path("capacity").asInt() + " slots taken or waited for");
+            line(s, "operations", n.path("operations").asLong() + " claimed of late, " + n.path("answerBytes").asLong() / 1024
+                    + " kB of answers kept for repeats");
             line(s, "ready", n.path("ready"));
             return s.toString();
         }
@@ -95,6 +97,17 @@
             }
         });
         n.path("duties").fields().forEachRemaining(d -> line(s, "duty " + d.getKey(), d.getValue()));
+        line(s, "registers", n.path("registers").asLong() + " held, " + n.path("rounds").asLong() + " rounds begun, "
+                + n.path("unsure").asLong() + " without a certain end"
+                + (n.path("settled").asBoolean() ? "" : "; takes part in none yet"));
+        line(s, "slices of tenants", n.path("slices").asLong() + " of " + n.path("slicesInAll").asLong() + " owned here");
+        n.path("overLimit").fields().forEachRemaining(t -> line(s, "over its limit", t.getKey() + ", "
+                + t.getValue().asLong() + " times"));
+        JsonNode usage = n.path("usage");
+        if (usage.isObject()) {
+            line(s, "usage reports", "by " + usage.path("holder").asText("nobody") + " under fence " + usage.path("fence").asLong()
+                    + ", oldest window not reported " + usage.path("oldest").asLong() + ", now in " + usage.path("current").asLong());
+        }
         fleet(s, n.path("sides"), all);
         return s.toString();
     }
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -656,7 +656,7 @@
         ledger.evacuations().forEach((z, e) -> ev.put(z, e.on()));
         ObjectNode held = n.putObject("duties");
         ledger.duties().forEach((key, d) -> held.put(key, d.holder()));
-        n.put("slices", slices.owned());
+        n.put("slices", slices.owned()).put("slicesInAll", Admission.SLICES);
         n.put("registers", registers.held()).put("rounds", registers.rounds()).put("unsure", registers.unsure())
                 .put("settled", registers.settled());
         if (metering != null) {
