--- a/src/main/java/bramblespool/Main.java
+++ b/src/main/java/bramblespool/Main.java
@@ -58,7 +58,6 @@
             System.err.println("bramblespool: " + e.getMessage());
             return UNFIT;
         }
-        quietLibraries();
         Log log = new Log(settings.node(), System.err, level);
         try {
             new Main(file, settings, log).start(role);
@@ -70,15 +69,6 @@
         }
     }
 
-    /** Held, for a logger that nobody holds may lose its level. */
-    private static final java.util.logging.Logger PARSING = java.util.logging.Logger.getLogger("io.undertow.request");
-
-    /** What a server or client sends amiss is told by our own events. */
-    static void quietLibraries() {
-        PARSING.setLevel(java.util.logging.Level.OFF);
-        java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.WARNING);
-    }
-
     private void start(String role) throws IOException, SQLException {
         CountDownLatch up = new CountDownLatch(1);
         Throwable[] failed = new Throwable[1];
--- a/src/main/java/bramblespool/Rehearsal.java
+++ b/src/main/java/bramblespool/Rehearsal.java
@@ -42,11 +42,13 @@
     private static final int TRIES = 200;
     private static final String CONFIG = """
             {"epoch":%d,"baseVersion":%d,
-             "routeTable":{"columns":["name","authority","pathPrefix","routeClass","deadline","goal","rank","shares","maxTries","target"],
-              "rows":[["r","rehearsal.example","/a/","idempotent","5s","1s",1,null,2,"stage"],
-                      ["s","rehearsal.example","/b/","mutating","5s","1s",1,[{"target":"stage","share":1}],2,null]]},
+             "routeTable":{"columns":["name","authority","pathPrefix","routeClass","deadline","goal","rank","shares","maxTries","target","public"],
+              "rows":[["r","rehearsal.example","/a/","idempotent","5s","1s",1,null,2,"stage",true],
+                      ["k","rehearsal.example","/k/","keyed","5s","1s",1,null,2,"stage",false],
+                      ["s","rehearsal.example","/b/","mutating","5s","1s",1,[{"target":"stage","share":1}],2,null,true]]},
              "serviceTable":{"columns":["name","probePath","maxConns","protocol","tls","warmup","warmPerS"],
               "rows":[["stage","/health",10,"h1",false,"0ms",10.0]]},
+             "principals":{"columns":["name","apiKeys","rank","ratePerS","burst"],"rows":[["t",["key"],0,1000,1000]]},
              "limits":{"headerBytes":16384,"bodyBytes":1048576,"headerRead":"3s","idle":"15s"}}
             """;
 
@@ -109,12 +111,14 @@
                 warmExcess = 1.5
                 warmSlack = 5
                 evac = "5000ms"
+                lease = "200ms"
+                reportWindow = "500ms"
+                usageLate = "2s"
                 """.formatted(node, machineClass, ip, port[1], port[1] + 1, at(2), more);
     }
 
     /** Answers whether all steps went well. */
     static boolean run() {
-        Main.quietLibraries();
         try {
             return new Rehearsal().play();
         } catch (Exception e) {
@@ -134,10 +138,11 @@
             }
             x.getResponseSender().send("played");
         }, Ports.bounds(1 << 16, 1 << 20, 10_000, 10_000));
-        Settings helm = Settings.parse(settings("core", "helm-1", IP, "dataDir = \"" + dir + "\"\n[listeners]\ncontrol = \""
-                + at(2) + "\""), "rehearsal");
+        String metered = "[platform]\naddress = \"" + at(8) + "\"\nduties = [\"metering\"]\ndutyPerS = 10.0\n";
+        Settings helm = Settings.parse(settings("core", "helm-1", IP, "dataDir = \"" + dir + "\"\n" + metered
+                + "[listeners]\ncontrol = \"" + at(2) + "\""), "rehearsal");
         Settings weft = Settings.parse(settings("sidecar", "weft-1", WEFT_IP, "target = \"stage\"\nappAddr = \"" + at(0)
-                + "\"\n[listeners]\ncontrol = \"" + at(4) + "\"\ninbound = \"" + at(5) + "\"\noutbound = \"" + at(6)
+                + "\"\n" + metered + "[listeners]\ncontrol = \"" + at(4) + "\"\ninbound = \"" + at(5) + "\"\noutbound = \"" + at(6)
                 + "\"\nready = \"" + at(7) + "\""), "rehearsal");
         play(dir, helm, weft);
         Path other = Files.createTempDirectory("bramblespool");
@@ -156,6 +161,8 @@
         step("readiness", () -> get(at(7), "/bramblespool/readiness"), 200);
         step("a request", () -> get(at(6), "/a/1"), 200);
         step("a request with a body", () -> post(at(6), "/b/1", "body"), 200);
+        step("a request with a key", () -> post(at(6), "/k/1", "body"), 200);
+        step("its repeat", () -> post(at(6), "/k/1", "body"), 200);
         step("a request to the gate", () -> get(at(5), "/a/2"), 200);
         step("an unknown route", () -> get(at(6), "/none/"), 404);
         step("a second configuration", () -> post(at(2), "/bramblespool/config/replace", CONFIG.formatted(3, 1)), 200);
@@ -229,7 +236,7 @@
         CompletableFuture<Integer> out = new CompletableFuture<>();
         HeaderMap headers = new HeaderMap();
         headers.put(Headers.HOST, "rehearsal.example").put(Names.ATTEMPT, "a1").put(Names.DEADLINE, 3000)
-                .put(Names.MARK, "0");
+                .put(Names.MARK, "0").put(Headers.AUTHORIZATION, "Token key").put(Names.OPERATION, "o1");
         if (body.length > 0) {
             headers.put(Headers.CONTENT_LENGTH, body.length);
         }
--- a/src/main/java/bramblespool/Status.java
+++ b/src/main/java/bramblespool/Status.java
@@ -44,7 +44,6 @@
                 return Main.UNFIT;
             }
         }
-        Main.quietLibraries();
         Log log = new Log("status", System.err, Log.Level.ERROR);
         Loop loop = new Loop(log);
         Ports ports = new Ports(loop, log);
--- /dev/null
+++ b/src/main/java/bramblespool/transport/LibraryLog.java
@@ -0,0 +1,105 @@
+package bramblespool.transport;
+
+import java.util.Map;
+import org.jboss.logging.Logger;
+import org.jboss.logging.LoggerProvider;
+
+/**
+ * Where the libraries log: warnings and worse go to standard error. The platform's own logging would do the same, but
+ * costs a sixth of a start to set up. Found by its name under {@code META-INF/services}.
+ */
+public final class LibraryLog implements LoggerProvider {
+    /** What a peer sends that cannot be parsed is answered, and is no news of the library's. */
+    private static final String PARSING = "io.undertow.request";
+
+    private static final class Plain extends Logger {
+        private static final long serialVersionUID = 1L;
+
+        Plain(String name) {
+            super(name);
+        }
+
+        @Override
+        public boolean isEnabled(Level level) {
+            return level.ordinal() <= Level.WARN.ordinal() && !getName().startsWith(PARSING);
+        }
+
+        @Override
+        protected void doLog(Level level, String loggerClassName, Object message, Object[] parameters, Throwable thrown) {
+            say(level, String.valueOf(message), thrown);
+        }
+
+        @Override
+        protected void doLogf(Level level, String loggerClassName, String format, Object[] parameters, Throwable thrown) {
+            if (isEnabled(level)) {
+                say(level, parameters == null || parameters.length == 0 ? format : String.format(format, parameters), thrown);
+            }
+        }
+
+        private void say(Level level, String message, Throwable thrown) {
+            if (isEnabled(level)) {
+                System.err.println(level + " " + getName() + ": " + message + (thrown == null ? "" : ": " + thrown));
+            }
+        }
+    }
+
+    @Override
+    public Logger getLogger(String name) {
+        return new Plain(name);
+    }
+
+    @Override
+    public void clearMdc() {
+    }
+
+    @Override
+    public Object putMdc(String key, Object value) {
+        return null;
+    }
+
+    @Override
+    public Object getMdc(String key) {
+        return null;
+    }
+
+    @Override
+    public void removeMdc(String key) {
+    }
+
+    @Override
+    public Map<String, Object> getMdcMap() {
+        return Map.of();
+    }
+
+    @Override
+    public void clearNdc() {
+    }
+
+    @Override
+    public String getNdc() {
+        return null;
+    }
+
+    @Override
+    public int getNdcDepth() {
+        return 0;
+    }
+
+    @Override
+    public String popNdc() {
+        return null;
+    }
+
+    @Override
+    public String peekNdc() {
+        return null;
+    }
+
+    @Override
+    public void pushNdc(String message) {
+    }
+
+    @Override
+    public void setNdcMaxDepth(int maxDepth) {
+    }
+}
--- a/src/main/java/bramblespool/transport/Loop.java
+++ b/src/main/java/bramblespool/transport/Loop.java
@@ -21,7 +21,6 @@
         // Whoever wants them sets these properties; what is set stands.
         unlessSet("javax.management.builder.initial", NoBeans.class.getName());
         unlessSet("jboss.threads.eqe.disable-mbean", "true");
-        unlessSet("org.jboss.logging.provider", "jdk");
     }
 
     private static void unlessSet(String property, String value) {
