--- a/src/test/java/bramblespool/SocketTest.java
+++ b/src/test/java/bramblespool/SocketTest.java
@@ -71,12 +71,14 @@
                 .replace("\"desk\"]]", "\"desk\",true],[\"s\",\"x.example\",\"/s/\",\"idempotent\",\"1500ms\",\"600ms\",1,null,2,\"desk\",false],"
                         + "[\"k\",\"x.example\",\"/k/\",\"keyed\",\"1500ms\",\"600ms\",1,null,2,\"desk\",false]]")
                 .replace("\"limits\"", "\"principals\":{\"columns\":[\"name\",\"apiKeys\",\"rank\",\"ratePerS\",\"burst\"],"
-                        + "\"rows\":[[\"many\",[\"key-1\",\"key-2\"],0,null,null],[\"few\",[\"key-3\"],null,0.01,2]]},\"limits\"");
+                        + "\"rows\":[[\"many\",[\"key-1\",\"key-2\"],0,null,null],[\"few\",[\"key-3\"],null,0.01,2],[\"warm\",[\"key-4\"],null,1000,1000]]},\"limits\"");
         until(() -> exchange(HELM, PORT[1], post("/bramblespool/config/replace", config)), "HTTP/1.1 200");
         String beat = "{\"target\":\"desk\",\"address\":\"" + WEFT + ":" + PORT[0]
                 + "\",\"zone\":\"z\",\"capacity\":4,\"state\":\"ready\",\"warmupLeft\":\"0ms\",\"callSeq\":1}";
         until(() -> exchange(WEFT, PORT[1], post("/bramblespool/servers/i-1/heartbeat", beat)), "HTTP/1.1 200");
         until(() -> exchange(WEFT, PORT[4], "GET /bramblespool/readiness HTTP/1.1\r\nHost: h\r\n\r\n"), "HTTP/1.1 200");
+        // A helm that has just started grants no leases yet.
+        until(() -> request("/s/warm", "Authorization: Token key-4\r\n"), "HTTP/1.1 200");
     }
 
     private interface Try {
