--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -45,7 +45,7 @@
     /** Ratio to {@code quiet} of the lateness from which a helm counts as not keeping up. */
     private static final int BEHIND = 40;
     /** Ratio to {@code apply} of the time for which words to another voter's registers are gathered. */
-    private static final int REGISTER_GATHER = 300;
+    private static final int REGISTER_GATHER = 150;
     /** A claim is kept for longer than its window, which begins when the client sends the request. */
     private static final double REGISTER_KEEPS = 1.25;
     /** Renewals missed before a session is closed. */
@@ -237,7 +237,8 @@
             if (a == null) {
                 silentSince.put(owner, clock.now());
             }
-            if (a == null || a.path("verdict").asText().equals("none")) {
+            // One that is merely slow is not asked about: that would make it slower.
+            if (a != null && a.path("verdict").asText().equals("none")) {
                 slices.mistaken(slice);
             }
             then.accept(orSpare(a instanceof ObjectNode o ? o : nobody(), m));
--- a/src/main/java/bramblespool/coordination/Registers.java
+++ b/src/main/java/bramblespool/coordination/Registers.java
@@ -59,6 +59,9 @@
     private final long callMs;
     private final long lifeMs;
     private final Acceptor acceptor;
+    /** Words gathered for the next write, and whom to tell then; null where there are none. */
+    private Map<String, Vault.Kept> unkept;
+    private List<Runnable> unkeptDone;
     private final Map<String, ArrayList<Item>> outgoing = new LinkedHashMap<>();
     /** Registers whose present value is known here to be chosen. */
     private final Set<String> chosen = new HashSet<>();
@@ -459,7 +462,24 @@
             replies.add(new Reply(ok, seen, c.accepted(), c.value()));
         }
         // Also where nothing changed: what is told may still be on its way to the disk.
-        vault.keep(new ArrayList<>(words.values()), durable);
+        keep(words, durable);
+    }
+
+    /** Words that come within a short time go to the disk as one write: each costs a small helm as much as a message. */
+    private void keep(Map<String, Vault.Kept> words, Runnable durable) {
+        if (unkept == null) {
+            unkept = new LinkedHashMap<>();
+            unkeptDone = new ArrayList<>();
+            clock.after(gatherMs / 2, () -> {
+                List<Runnable> done = unkeptDone;
+                List<Vault.Kept> all = new ArrayList<>(unkept.values());
+                unkept = null;
+                unkeptDone = null;
+                vault.keep(all, () -> done.forEach(Runnable::run));
+            });
+        }
+        unkept.putAll(words);
+        unkeptDone.add(durable);
     }
 
     /** Serves the registers' messages; false where the kind is another's. */
--- a/src/main/java/bramblespool/state/SqliteVault.java
+++ b/src/main/java/bramblespool/state/SqliteVault.java
@@ -188,7 +188,9 @@
             List<Job> done = List.copyOf(batch);
             while (!closed) {
                 try {
-                    write(done);
+                    if (done.stream().anyMatch(j -> j.change != null || !j.words.isEmpty() || j.fadeTo > 0)) {
+                        write(done);
+                    }
                     loop.execute(() -> finished(done));
                     break;
                 } catch (SQLException e) {
@@ -240,27 +242,42 @@
     }
 
     private void fill(List<Job> batch) throws SQLException {
+        // Statements are made only where they are needed: making one costs more than running it.
+        if (batch.stream().anyMatch(j -> j.change != null)) {
+            fillLog(batch);
+        }
+        if (batch.stream().anyMatch(j -> !j.words.isEmpty())) {
+            try (PreparedStatement word = db.prepareStatement("INSERT OR REPLACE INTO register VALUES(?,?,?,?,?)")) {
+                for (Job j : batch) {
+                    long seq = j.first;
+                    for (Kept k : j.words) {
+                        word.setLong(1, seq++);
+                        word.setString(2, k.id());
+                        word.setString(3, k.promised());
+                        word.setString(4, k.accepted());
+                        word.setString(5, k.value());
+                        word.executeUpdate();
+                    }
+                }
+            }
+        }
+        for (Job j : batch) {
+            if (j.fadeTo > 0) {
+                try (PreparedStatement fade = db.prepareStatement("DELETE FROM register WHERE seq<=? AND id<>''")) {
+                    fade.setLong(1, j.fadeTo);
+                    fade.executeUpdate();
+                }
+            }
+        }
+    }
+
+    private void fillLog(List<Job> batch) throws SQLException {
         try (PreparedStatement self = db.prepareStatement("UPDATE self SET term=?, vote=?, agreed=?");
                 PreparedStatement cut = db.prepareStatement("DELETE FROM log WHERE idx>=?");
                 PreparedStatement drop = db.prepareStatement("DELETE FROM log WHERE idx<=?");
                 PreparedStatement add = db.prepareStatement("INSERT OR REPLACE INTO log VALUES(?,?,?)");
-                PreparedStatement word = db.prepareStatement("INSERT OR REPLACE INTO register VALUES(?,?,?,?,?)");
-                PreparedStatement fade = db.prepareStatement("DELETE FROM register WHERE seq<=? AND id<>''");
                 PreparedStatement snap = db.prepareStatement("INSERT OR REPLACE INTO snapshot VALUES(1,?,?,?,?)")) {
             for (Job j : batch) {
-                long seq = j.first;
-                for (Kept k : j.words) {
-                    word.setLong(1, seq++);
-                    word.setString(2, k.id());
-                    word.setString(3, k.promised());
-                    word.setString(4, k.accepted());
-                    word.setString(5, k.value());
-                    word.executeUpdate();
-                }
-                if (j.fadeTo > 0) {
-                    fade.setLong(1, j.fadeTo);
-                    fade.executeUpdate();
-                }
                 Change c = j.change;
                 if (c == null) {
                     continue;
