--- a/src/main/java/bramblespool/coordination/Quota.java
+++ b/src/main/java/bramblespool/coordination/Quota.java
@@ -17,9 +17,14 @@
      */
     private static final double OWNER_SHARE = 0.2;
     private static final double SPARE_SHARE = 0.75;
-    /** No side asks for a tenant at its limit again before this part of the window, and after twice that all do. */
+    /**
+     * A side that was denied a token asks for that tenant again after a part of the window: this where denials are few, and
+     * up to as much more as the second says where they are all there is.
+     */
     private static final int LEAST_WAIT = 100;
-    private static final int MOST_WAIT = 25;
+    private static final int MOST_WAIT = 8;
+    /** How much one answer weighs in the share of denials. */
+    private static final double PRESS = 0.05;
 
     private static final class Bucket {
         private long term = -1;
@@ -29,6 +34,7 @@
         private double tokens;
         private long at;
         private long denied;
+        private double press;
     }
 
     private final Clock clock;
@@ -67,13 +73,17 @@
         }
         b.tokens = Math.min(cap(b), b.tokens + (now - b.at) / 1000.0 * b.ratePerS * (1 + excess * OWNER_SHARE));
         b.at = now;
-        if (b.tokens >= 1) {
+        boolean granted = b.tokens >= 1;
+        b.press += PRESS * ((granted ? 0 : 1) - b.press);
+        if (granted) {
             b.tokens--;
             return 0;
         }
         b.denied++;
-        long refill = (long) Math.ceil((1 - b.tokens) / Math.max(0.1, b.ratePerS) * 1000);
-        return Math.max(windowMs / LEAST_WAIT, Math.min(refill, windowMs / MOST_WAIT)) + (long) (clock.chance() * windowMs / LEAST_WAIT);
+        // The further a tenant is over its limit, the longer each side answers for itself: one tenant's excess must not
+        // be the owner's whole work.
+        long wait = windowMs / LEAST_WAIT + (long) (b.press * windowMs / MOST_WAIT);
+        return (long) (wait * (0.75 + clock.chance() / 2));
     }
 
     /**
