Read once more: one life for operations and their registers, duties called directly, dead code gone

No behaviour changes. Registers asked twice whether this helm is a voter, wrapped rendezvous hashing anew and kept a time nobody read; the remembering of a key was defined in two places; the usage duty reached the duties through a callback set later. In tests wefts and hems start by one piece.

--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -46,8 +46,6 @@
     private static final int BEHIND = 40;
     /** Ratio to {@code apply} of the time for which words to another voter's registers are gathered. */
     private static final int REGISTER_GATHER = 150;
-    /** A claim is kept for longer than its window, which begins when the client sends the request. */
-    private static final double REGISTER_KEEPS = 1.25;
     /** Renewals missed before a session is closed. */
     private static final double CLOSES = 2.6;
 
@@ -128,9 +126,10 @@
         }
         Vault.Saved saved = vault.load();
         String member = settings.peer() + "#" + saved.incarnation();
+        long registerLife = Operations.keeps(b.keyWindow());
         this.registers = new Registers(ledger, member, settings.lossMachines() + 1, vault, clock, wire, b.apply() / REGISTER_GATHER,
-                callMs / 2, (long) (b.keyWindow() * REGISTER_KEEPS), log);
-        this.slices = new Slices(ledger, registers, member, clock, wire, b.quiet(), (long) (b.keyWindow() * REGISTER_KEEPS), log);
+                callMs / 2, registerLife, log);
+        this.slices = new Slices(ledger, registers, member, clock, wire, b.quiet(), registerLife, log);
         this.quota = new Quota(clock, b.quotaWindow(), b.quotaExcess(), b.quotaSlack());
         this.quorum = new Quorum(member, settings.control(),
                 Math.max(1, settings.seeds().size()), settings.lossMachines(), saved, clock, wire, vault, this,
@@ -145,10 +144,7 @@
         this.slack = new Slack(clock, b.retrySlack(), b.retryWindow());
         this.duties = new Duties(quorum, ledger, this::keys, Metering.DUTY::equals);
         this.metering = platform == null || settings.metering() == null ? null : new Metering(settings, fresh, clock, wire, platform,
-                quorum, ledger, registers, news, this::helms, () -> members, callMs / 2, log);
-        if (metering != null) {
-            metering.onRaise(fence -> duties.raise(Metering.DUTY, fence));
-        }
+                quorum, ledger, duties, registers, news, this::helms, () -> members, callMs / 2, log);
         this.strain = new Strain(clock, b.quiet() / BEHIND, log);
     }
 
--- a/src/main/java/bramblespool/coordination/Membership.java
+++ b/src/main/java/bramblespool/coordination/Membership.java
@@ -178,9 +178,7 @@
     /** The helm has the sums as they were told, and says what time most have. */
     private void counted(String at, long asked, JsonNode a) {
         if (tally != null && a.has("change")) {
-            if (!at.equals(tallyAt)) {
-                tallyAt = at;
-            }
+            tallyAt = at;
             tally.taken(a.path("change").asLong());
             time.take(time.offsetOf(a.path("time").asLong(), clock.now() - asked));
         }
--- a/src/main/java/bramblespool/coordination/Metering.java
+++ b/src/main/java/bramblespool/coordination/Metering.java
@@ -59,6 +59,7 @@
     private final Platform platform;
     private final Quorum quorum;
     private final Ledger ledger;
+    private final Duties duties;
     private final Registers registers;
     private final News news;
     private final Supplier<Collection<String>> helms;
@@ -78,7 +79,7 @@
     private long refusedFence = -1;
 
     Metering(Settings settings, boolean fresh, Clock clock, Wire wire, Platform platform, Quorum quorum, Ledger ledger,
-            Registers registers, News news, Supplier<Collection<String>> helms, Supplier<Collection<String>> members, long callMs,
+            Duties duties, Registers registers, News news, Supplier<Collection<String>> helms, Supplier<Collection<String>> members, long callMs,
             Log log) {
         this.rules = settings.metering();
         this.node = settings.node();
@@ -89,6 +90,7 @@
         this.platform = platform;
         this.quorum = quorum;
         this.ledger = ledger;
+        this.duties = duties;
         this.registers = registers;
         this.news = news;
         this.helms = helms;
@@ -104,10 +106,6 @@
         learnTime();
     }
 
-    long now() {
-        return time.now();
-    }
-
     private long current() {
         return Math.floorDiv(time.now(), rules.window());
     }
@@ -243,7 +241,7 @@
     /** Asks all helms what they have heard of a window, and adds up each process once. */
     private void gather(long w, long over) {
         Map<String, JsonNode> all = new HashMap<>();
-        merge(all, heard(w), w);
+        merge(all, heard(w));
         Collection<String> others = helms.get();
         int[] open = {others.size() + 1};
         boolean[] silent = new boolean[1];
@@ -257,7 +255,7 @@
                 if (a == null) {
                     silent[0] = true;
                 } else {
-                    merge(all, a, w);
+                    merge(all, a);
                 }
                 one.run();
             });
@@ -265,7 +263,7 @@
         one.run();
     }
 
-    private static void merge(Map<String, JsonNode> into, JsonNode heard, long w) {
+    private static void merge(Map<String, JsonNode> into, JsonNode heard) {
         heard.fields().forEachRemaining(f -> {
             JsonNode has = into.get(f.getKey());
             // A sum only grows until it is final, but for runs that were taken back: the one heard last counts.
@@ -287,13 +285,13 @@
     }
 
     private void gathered(long w, long over, Map<String, JsonNode> all, boolean silent) {
-        Set<String> final_ = new HashSet<>();
+        Set<String> finished = new HashSet<>();
         all.values().forEach(s -> {
             if (s.path("through").asLong() > w) {
-                final_.add(s.path("node").asText());
+                finished.add(s.path("node").asText());
             }
         });
-        boolean whole = !silent && final_.containsAll(members.get());
+        boolean whole = !silent && finished.containsAll(members.get());
         if (!whole && over < rules.late() * WAITS) {
             busy = false;
             return;
@@ -346,17 +344,10 @@
             wire.call(Quorum.addressOf(leader), "raise", JsonNodeFactory.instance.objectNode().put("key", DUTY).put("fence", fence),
                     callMs, a -> { });
         } else {
-            raise.accept(fence);
+            duties.raise(DUTY, fence);
         }
     }
 
-    /** How the leader gives the duty to its holder anew. */
-    private Consumer<Long> raise = f -> { };
-
-    void onRaise(Consumer<Long> r) {
-        raise = r;
-    }
-
     ObjectNode status() {
         Ledger.Duty d = ledger.duties().get(DUTY);
         return JsonNodeFactory.instance.objectNode().put("holder", d == null ? "" : d.holder()).put("fence", d == null ? 0 : d.fence())
--- a/src/main/java/bramblespool/coordination/Operations.java
+++ b/src/main/java/bramblespool/coordination/Operations.java
@@ -87,6 +87,9 @@
     private record Expiry(String id, long at) {
     }
 
+    /** An operation and its claim are known for longer than the window, which begins when the client sends the request. */
+    private static final double KEEPS = 1.25;
+
     private final Clock clock;
     private final String claimer;
     private final long windowMs;
@@ -108,6 +111,11 @@
         this.mostBytes = mostBytes;
     }
 
+    /** For how long an operation is remembered, here and in its register, where tries within a window may not both run. */
+    static long keeps(long windowMs) {
+        return (long) (windowMs * KEEPS);
+    }
+
     public int held() {
         return all.size();
     }
--- a/src/main/java/bramblespool/coordination/Quota.java
+++ b/src/main/java/bramblespool/coordination/Quota.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 
 /**
- * Handing out the tokens of the slices that are owned here: one bucket for each tenant, whole, with the slice's one owner. A token is used at once
- * by the side that asked for it, so what is sent and runs within a window was granted in that window, and the bucket alone
- * keeps the rule. A new owner, or a new life of one, does not know what was granted before it and starts with an empty
+ * Handing out the tokens of the slices that are owned here: one bucket for each tenant, whole, with the slice's one owner.
+ * A token is used at once by the side that asked for it, so what is sent and runs within a window was granted in that window,
+ * and the bucket alone keeps the rule. A new owner, or a new life of one, does not know what was granted before it and starts with an empty
  * bucket; by then the other's lease has run out.
  */
 public final class Quota {
@@ -96,8 +96,7 @@
         Bucket b = spares.get(tenant);
         if (b == null) {
             b = new Bucket();
-            // A new process does not know what an earlier one has spent.
-            b.tokens = 0;
+            // Empty: a new process does not know what an earlier one has spent.
             b.at = Math.max(born, now - windowMs);
             spares.put(tenant, b);
         }
--- a/src/main/java/bramblespool/coordination/Registers.java
+++ b/src/main/java/bramblespool/coordination/Registers.java
@@ -11,10 +11,8 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -44,8 +42,6 @@
     private static final int PAGE = 1000;
     /** The store's own mark: since which entry this voter has held all that those before it held. */
     private static final String MARK = "";
-    /** Words for why an acceptor takes no part. */
-    private static final String NO = "no";
 
     private final Ledger ledger;
     private final String self;
@@ -133,10 +129,6 @@
         return founder && since == 1 || settledSince == since;
     }
 
-    private boolean voter() {
-        return ledger.voters().containsKey(self);
-    }
-
     private int enough() {
         int n = ledger.voters().size();
         return Math.max(n / 2 + 1, Math.min(copies, n));
@@ -147,18 +139,14 @@
         return Admission.SLICE + id.substring(0, id.indexOf('/'));
     }
 
-    /** Who of the helms at these addresses is first in line for a slice. */
-    static String first(String slice, Iterable<String> addresses) {
-        List<String> of = new ArrayList<>();
-        addresses.forEach(of::add);
-        return Rendezvous.first(slice, of);
-    }
-
     private boolean mayGoFirst(String id) {
+        if (!settled()) {
+            return false;
+        }
         List<String> addresses = ledger.voters().keySet().stream().map(Quorum::addressOf).toList();
         // Two voters at one address are a lost disk and its successor: neither goes first until one of them is gone.
-        return voter() && settled() && Set.copyOf(addresses).size() == addresses.size()
-                && Quorum.addressOf(self).equals(first(sliceOf(id), addresses));
+        return Set.copyOf(addresses).size() == addresses.size()
+                && Quorum.addressOf(self).equals(Rendezvous.first(sliceOf(id), addresses));
     }
 
     // ---- proposing
@@ -188,7 +176,6 @@
         /** Whether a value that stands is as good as the own one. */
         private final boolean any;
         private final Consumer<Result> done;
-        private final long until;
         private long number;
         private int tries;
         private int turn;
@@ -199,7 +186,6 @@
             this.value = value;
             this.instead = instead;
             this.any = any;
-            this.until = clock.now() + withinMs;
             this.done = done;
             clock.after(withinMs, () -> end(Result.UNKNOWN));
         }
@@ -490,7 +476,7 @@
         // Under other voters than those in force here a majority would be another one.
         boolean fits = self.equals(m.path("to").asText()) && m.path("epoch").asLong() == ledger.votersSince() && settled();
         if (!fits) {
-            answer.accept(JsonNodeFactory.instance.objectNode().put(NO, true));
+            answer.accept(JsonNodeFactory.instance.objectNode());
         } else if (kind.equals("registers")) {
             answer.accept(page(m.path("after").asText()));
         } else {
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -36,8 +36,6 @@
     /** For this part of its last time a daemon that is to end goes on taking work for its servers. */
     private static final double SERVES_ON = 0.6;
 
-    /** An operation is known here for longer than its window, which begins when the client sends it. */
-    private static final double KEEPS = 1.25;
     /** Answers kept for repeats take at most this part of the machine's memory. */
     private static final int ANSWERS = 24;
 
@@ -103,7 +101,7 @@
             gates.add(gate);
         }
         this.budget = new Budget(b.retryRatio(), b.retrySlack());
-        this.operations = new Operations(clock, claimer, (long) (b.keyWindow() * KEEPS), answerBytes(settings));
+        this.operations = new Operations(clock, claimer, Operations.keeps(b.keyWindow()), answerBytes(settings));
         this.admission = new Admission(clock, wire, () -> Fleet.voters(news, this.settings), b.quiet());
         news.author(Fleet.SIDE + settings.node(), this::tellSelf);
         news.listen(this::heard);
--- a/src/test/java/bramblespool/sim/SimMesh.java
+++ b/src/test/java/bramblespool/sim/SimMesh.java
@@ -159,24 +159,25 @@
     }
 
     public void startWeft(String peer) {
+        WeftCore w = startSide(peer, wefts);
         SimWorld.Machine m = world.machine(peer);
-        m.boot();
-        WeftCore w = new WeftCore(settings(peer, seeds, false), m, m, Log.silent());
-        m.serve(w);
-        wefts.put(peer, w);
-        w.start();
         String id = "s-" + peer + "-" + ++beats;
         m.every(1500, () -> w.beat(new Beat(id, "desk", peer.substring(0, peer.indexOf(':')) + ":9000", "a", 6, false, 0,
                 ++beats)));
     }
 
     public void startHem(String peer) {
+        startSide(peer, hems);
+    }
+
+    private WeftCore startSide(String peer, Map<String, WeftCore> among) {
         SimWorld.Machine m = world.machine(peer);
         m.boot();
         WeftCore w = new WeftCore(settings(peer, seeds, false), m, m, Log.silent());
         m.serve(w);
-        hems.put(peer, w);
+        among.put(peer, w);
         w.start();
+        return w;
     }
 
     public void killHem(String peer) {
