Agreement moves to package raft, under Raft's names, each part in a file of its own

Behaviour is unchanged: Quorum is Raft, with RaftLog, Election, Replication, Reads (ReadIndex), Rights (leases carried by heartbeats) and Configuration (the voters).

--- a/src/main/java/bramblespool/coordination/Commit.java
+++ b/src/main/java/bramblespool/coordination/Commit.java
@@ -1,6 +1,7 @@
 package bramblespool.coordination;
 
 import bramblespool.protocol.Orders;
+import bramblespool.raft.Raft;
 import bramblespool.state.Config;
 import bramblespool.state.Ledger;
 import bramblespool.state.Log;
@@ -45,7 +46,7 @@
 
     private static final int TRIES = 2;
 
-    private final Quorum quorum;
+    private final Raft raft;
     private final Ledger ledger;
     private final Cells cells;
     private final Supplier<Set<String>> members;
@@ -58,9 +59,9 @@
     private Config compiled;
     private Set<String> unconfirmed = new HashSet<>();
 
-    public Commit(Quorum quorum, Ledger ledger, Cells cells, Supplier<Set<String>> members, Clock clock, Times times,
+    public Commit(Raft raft, Ledger ledger, Cells cells, Supplier<Set<String>> members, Clock clock, Times times,
             Log log) {
-        this.quorum = quorum;
+        this.raft = raft;
         this.ledger = ledger;
         this.cells = cells;
         this.members = members;
@@ -141,7 +142,7 @@
         long mine = lead;
         ObjectNode e = Ledger.entry("candidate").put("epoch", config.epoch).put("base", change.base())
                 .put("digest", change.digest()).put("doc", config.packed);
-        quorum.propose(e, ok -> {
+        raft.propose(e, ok -> {
             if (!ok || mine != lead) {
                 o.done.accept(Orders.Outcome.unclear("the lead was lost"));
                 return;
@@ -210,7 +211,7 @@
         long mine = lead;
         log.say(Event.COMMIT_ABORTED, "epoch", epoch, "why", why);
         cells.phase(message(0, ledger.current().epoch(), epoch), members.get(), times.phase, x -> { });
-        quorum.propose(Ledger.entry("abort").put("epoch", epoch), ok -> {
+        raft.propose(Ledger.entry("abort").put("epoch", epoch), ok -> {
             if (ok && mine == lead) {
                 then.run();
             }
@@ -222,7 +223,7 @@
         long mine = lead;
         unconfirmed = new HashSet<>(members.get());
         unconfirmed.removeAll(confirmed);
-        quorum.propose(Ledger.entry("decide").put("epoch", config.epoch), ok -> {
+        raft.propose(Ledger.entry("decide").put("epoch", config.epoch), ok -> {
             if (!ok || !ledger.taken(o.change.digest())) {
                 o.done.accept(Orders.Outcome.unclear("the lead was lost"));
                 return;
@@ -242,11 +243,11 @@
 
     /** Phase 3, SWAP. */
     private void swap(long epoch, Set<String> wefts) {
-        if (!quorum.leads()) {
+        if (!raft.leads()) {
             return;
         }
         long mine = lead;
-        phase(3, epoch, wefts, 1, rest -> quorum.propose(
+        phase(3, epoch, wefts, 1, rest -> raft.propose(
                 Ledger.entry("phase").put("epoch", epoch).put("phase", Ledger.Phase.SWAPPED.name()), ok -> {
                     if (ok && mine == lead) {
                         mark(epoch, wefts, rest);
@@ -257,7 +258,7 @@
     /** Phase 4, MARK SHADOW BIT. */
     private void mark(long epoch, Set<String> wefts, Set<String> silentAtSwap) {
         long mine = lead;
-        phase(4, epoch, wefts, TRIES, rest -> quorum.propose(
+        phase(4, epoch, wefts, TRIES, rest -> raft.propose(
                 Ledger.entry("phase").put("epoch", epoch).put("phase", Ledger.Phase.MARKED.name()), ok -> {
                     if (ok && mine == lead) {
                         unconfirmed = new HashSet<>(members.get());
--- a/src/main/java/bramblespool/coordination/Duties.java
+++ b/src/main/java/bramblespool/coordination/Duties.java
@@ -1,5 +1,6 @@
 package bramblespool.coordination;
 
+import bramblespool.raft.Raft;
 import bramblespool.state.Ledger;
 import java.util.Collection;
 import java.util.HashSet;
@@ -10,15 +11,15 @@
 
 /** Hands out the keyed duties as the leader: each key is held by a live helm, and changes hands with a higher fence. */
 final class Duties {
-    private final Quorum quorum;
+    private final Raft raft;
     private final Ledger ledger;
     private final Supplier<Collection<String>> keys;
     /** Which keys are held under a right that lapses soon, so that they change hands sooner. */
     private final Predicate<String> leased;
     private final Set<String> proposed = new HashSet<>();
 
-    Duties(Quorum quorum, Ledger ledger, Supplier<Collection<String>> keys, Predicate<String> leased) {
-        this.quorum = quorum;
+    Duties(Raft raft, Ledger ledger, Supplier<Collection<String>> keys, Predicate<String> leased) {
+        this.raft = raft;
         this.ledger = ledger;
         this.keys = keys;
         this.leased = leased;
@@ -27,26 +28,26 @@
     /** Gives a duty to its holder once more, under a higher fence, where the one named is still in force. */
     void raise(String key, long fence) {
         Ledger.Duty d = ledger.duties().get(key);
-        if (quorum.leads() && d != null && d.fence() == fence && proposed.add(key)) {
-            quorum.propose(Ledger.entry("duty").put("key", key).put("holder", d.holder()), ok -> proposed.remove(key));
+        if (raft.leads() && d != null && d.fence() == fence && proposed.add(key)) {
+            raft.propose(Ledger.entry("duty").put("key", key).put("holder", d.holder()), ok -> proposed.remove(key));
         }
     }
 
     /** One round: what nobody alive holds is given away. */
     void check() {
-        if (!quorum.leads()) {
+        if (!raft.leads()) {
             proposed.clear();
             return;
         }
-        List<String> all = quorum.alive();
-        List<String> withRight = quorum.withRight();
+        List<String> all = raft.alive();
+        List<String> withRight = raft.withRight();
         for (String key : keys.get()) {
             Ledger.Duty d = ledger.duties().get(key);
             List<String> alive = leased.test(key) ? withRight : all;
             if (d != null && alive.contains(d.holder()) || !proposed.add(key)) {
                 continue;
             }
-            quorum.propose(Ledger.entry("duty").put("key", key).put("holder", Rendezvous.first(key, alive)),
+            raft.propose(Ledger.entry("duty").put("key", key).put("holder", Rendezvous.first(key, alive)),
                     ok -> proposed.remove(key));
         }
     }
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -1,6 +1,9 @@
 package bramblespool.coordination;
 
 import bramblespool.protocol.Orders;
+import bramblespool.raft.Raft;
+import bramblespool.raft.StateMachine;
+import bramblespool.raft.Times;
 import bramblespool.state.Config;
 import bramblespool.state.Ledger;
 import bramblespool.state.Log;
@@ -27,7 +30,7 @@
 import java.util.function.Consumer;
 
 /** A helm: the cell of its zone, and a member of the agreement above the cells. */
-public final class HelmCore implements Wire.Service, Quorum.Machine {
+public final class HelmCore implements Wire.Service, StateMachine {
     /** Ratios to {@code quiet}. */
     private static final int RENEWALS = 6;
     private static final int CALLS = 10;
@@ -63,7 +66,7 @@
     private Settings settings;
     private final Ledger ledger = new Ledger();
     public final News news;
-    public final Quorum quorum;
+    public final Raft raft;
     public final Commit commit;
     public final Registers registers;
     private final Quota quota;
@@ -121,8 +124,8 @@
         if (vault.load() == null) {
             List<String> founders = settings.seeds().stream().map(settings::peerOf).toList();
             boolean founds = settings.bootstrap() && founders.contains(settings.peer());
-            vault.found(founds ? Quorum.FOUNDER : incarnation,
-                    founds ? List.of(Quorum.founding(founders)) : List.of());
+            vault.found(founds ? Raft.FOUNDER : incarnation,
+                    founds ? List.of(Raft.founding(founders)) : List.of());
         }
         Vault.Saved saved = vault.load();
         String member = settings.peer() + "#" + saved.incarnation();
@@ -131,10 +134,10 @@
                 callMs / 2, registerLife, log);
         this.slices = new Slices(ledger, registers, member, clock, wire, b.quiet(), registerLife, log);
         this.quota = new Quota(clock, b.quotaWindow(), b.quotaExcess(), b.quotaSlack());
-        this.quorum = new Quorum(member, settings.control(),
+        this.raft = new Raft(member, settings.control(),
                 Math.max(1, settings.seeds().size()), settings.lossMachines(), saved, clock, wire, vault, this,
-                Quorum.Times.of(b.quiet(), b.stretch()), log);
-        this.commit = new Commit(quorum, ledger, this::phase, () -> new HashSet<>(members), clock,
+                Times.of(b.quiet(), b.stretch()), log);
+        this.commit = new Commit(raft, ledger, this::phase, () -> new HashSet<>(members), clock,
                 Commit.Times.of(b.ack(), b.apply()), log);
         if (platform != null && settings.discovery() == Settings.Discovery.PLATFORM) {
             for (String zone : settings.zones().keySet()) {
@@ -142,16 +145,16 @@
             }
         }
         this.slack = new Slack(clock, b.retrySlack(), b.retryWindow());
-        this.duties = new Duties(quorum, ledger, this::keys, Metering.DUTY::equals);
+        this.duties = new Duties(raft, ledger, this::keys, Metering.DUTY::equals);
         this.metering = platform == null || settings.metering() == null ? null : new Metering(settings, fresh, clock, wire, platform,
-                quorum, ledger, duties, registers, news, this::helms, () -> members, callMs / 2, log);
+                raft, ledger, duties, registers, news, this::helms, () -> members, callMs / 2, log);
         this.strain = new Strain(clock, b.quiet() / BEHIND, log);
     }
 
     public void start() {
         long renew = settings.bounds().quiet() / RENEWALS;
         tellSelf();
-        quorum.start();
+        raft.start();
         strain.start();
         registers.start();
         slices.start();
@@ -160,9 +163,9 @@
         }
         clock.every(renew, () -> {
             sweep();
-            quorum.join(helms());
+            raft.join(helms());
             registers.settle();
-            if (toldVoter != ledger.voters().containsKey(quorum.self())) {
+            if (toldVoter != ledger.voters().containsKey(raft.self())) {
                 tellSelf();
             }
         });
@@ -189,13 +192,13 @@
     private void lease(JsonNode m, Consumer<ObjectNode> answer) {
         String service = m.path("service").asText();
         Ledger.Duty d = ledger.duties().get(SLACK + service);
-        String owner = d == null ? quorum.leaderId() == null ? null : Quorum.addressOf(quorum.leaderId()) : d.holder();
+        String owner = d == null ? raft.leaderId() == null ? null : Raft.addressOf(raft.leaderId()) : d.holder();
         if (settings.peer().equals(owner)) {
             if (d == null && asked.size() < MOST_ASKED) {
                 asked.add(SLACK + service);
             }
             answer.accept(JsonNodeFactory.instance.objectNode().put("life", slack.lifeMs())
-                    .put("tries", d == null || !quorum.inTouch() ? 0 : slack.grant(service, d.fence())));
+                    .put("tries", d == null || !raft.inTouch() ? 0 : slack.grant(service, d.fence())));
         } else if (owner == null || m.path("passed").asBoolean()) {
             answer.accept(null);
         } else {
@@ -247,7 +250,7 @@
 
     /** Where nobody can say for the owner, a voter grants its part of what the rule allows beyond the limit. */
     private ObjectNode orSpare(ObjectNode token, JsonNode m) {
-        if (!"none".equals(token.path("verdict").asText()) || gone || !ledger.voters().containsKey(quorum.self())) {
+        if (!"none".equals(token.path("verdict").asText()) || gone || !ledger.voters().containsKey(raft.self())) {
             return token;
         }
         // One more than there are, for a change of voters that has not been heard of here.
@@ -291,7 +294,7 @@
 
     private void dutyRound() {
         duties.check();
-        boolean inTouch = quorum.inTouch();
+        boolean inTouch = raft.inTouch();
         rosters.forEach((zone, r) -> {
             Ledger.Duty d = ledger.duties().get(LIST + zone);
             r.hold(inTouch && !gone && d != null && d.holder().equals(settings.peer()), d == null ? 0 : d.fence());
@@ -327,7 +330,7 @@
     }
 
     private void tellSelf() {
-        toldVoter = ledger.voters().containsKey(quorum == null ? "" : quorum.self());
+        toldVoter = ledger.voters().containsKey(raft == null ? "" : raft.self());
         news.tell(JsonNodeFactory.instance.objectNode().put("peer", settings.peer()).put("control", settings.control())
                 .put("zone", settings.zone()).put("gone", gone).put("voter", toldVoter));
     }
@@ -395,7 +398,7 @@
             tellSession(node, s);
         }
         s.seen = clock.now();
-        return out.put("ok", true).put("touch", quorum.inTouch()).put("same", news.hash().equals(m.path("hash").asText()));
+        return out.put("ok", true).put("touch", raft.inTouch()).put("same", news.hash().equals(m.path("hash").asText()));
     }
 
     private void tellSession(String node, Session s) {
@@ -554,7 +557,7 @@
     /** The cell of a side that has not confirmed may be cut off: the leader tells such a side itself. */
     private void tellUnconfirmed() {
         News.Item order = news.get(Fleet.ORDER);
-        if (!quorum.leads() || order == null) {
+        if (!raft.leads() || order == null) {
             return;
         }
         for (String node : commit.unconfirmed()) {
@@ -568,12 +571,12 @@
     // ---- the operator
 
     public void change(Orders.Change change, Consumer<Orders.Outcome> done) {
-        if (!quorum.leads()) {
+        if (!raft.leads()) {
             done.accept(Orders.Outcome.unclear("not the leader"));
             return;
         }
         if (ledger.taken(change.digest())) {
-            quorum.confirm(ok -> done.accept(ok ? Orders.Outcome.taken(ledger.current().epoch())
+            raft.confirm(ok -> done.accept(ok ? Orders.Outcome.taken(ledger.current().epoch())
                     : Orders.Outcome.unclear("no quorum")));
             return;
         }
@@ -582,23 +585,23 @@
 
     public void evacuate(String zone, boolean on, Consumer<Boolean> done) {
         Ledger.Evacuation e = ledger.evacuations().get(zone);
-        if (quorum.leads() && (e == null ? !on : e.on() == on)) {
-            quorum.confirm(done);
+        if (raft.leads() && (e == null ? !on : e.on() == on)) {
+            raft.confirm(done);
             return;
         }
-        quorum.propose(Ledger.entry("evac").put("zone", zone).put("on", on), done);
+        raft.propose(Ledger.entry("evac").put("zone", zone).put("on", on), done);
     }
 
-    /** The newest version, confirmed by a quorum; null where that fails. */
+    /** The newest version, confirmed by a majority; null where that fails. */
     public void read(Consumer<Ledger.Version> done) {
-        quorum.confirm(ok -> done.accept(ok ? ledger.current() : null));
+        raft.confirm(ok -> done.accept(ok ? ledger.current() : null));
     }
 
     // ---- peers
 
     @Override
     public void serve(String kind, JsonNode m, Consumer<ObjectNode> answer) {
-        if (quorum.serve(kind, m, answer) || registers.serve(kind, m, answer) || slices.serve(kind, m, answer)
+        if (raft.serve(kind, m, answer) || registers.serve(kind, m, answer) || slices.serve(kind, m, answer)
                 || metering != null && metering.serve(kind, m, answer)) {
             return;
         }
@@ -641,12 +644,12 @@
 
     private ObjectNode status() {
         ObjectNode n = JsonNodeFactory.instance.objectNode().put("role", "helm").put("node", settings.node())
-                .put("zone", settings.zone()).put("self", quorum.self()).put("term", quorum.term())
-                .put("leader", quorum.leaderId()).put("leads", quorum.leads()).put("epoch", ledger.current().epoch())
-                .put("phase", ledger.phase().name()).put("applied", quorum.applied())
+                .put("zone", settings.zone()).put("self", raft.self()).put("term", raft.term())
+                .put("leader", raft.leaderId()).put("leads", raft.leads()).put("epoch", ledger.current().epoch())
+                .put("phase", ledger.phase().name()).put("applied", raft.applied())
                 .put("late", strain.late()).put("strained", strain.strained());
         ArrayNode v = n.putArray("voters");
-        quorum.voters().forEach(v::add);
+        raft.voters().forEach(v::add);
         ArrayNode u = n.putArray("unconfirmed");
         commit.unconfirmed().forEach(u::add);
         ObjectNode ev = n.putObject("evacuations");
@@ -674,6 +677,6 @@
     public void leave() {
         gone = true;
         tellSelf();
-        quorum.stop();
+        raft.stop();
     }
 }
--- a/src/main/java/bramblespool/coordination/Metering.java
+++ b/src/main/java/bramblespool/coordination/Metering.java
@@ -1,5 +1,6 @@
 package bramblespool.coordination;
 
+import bramblespool.raft.Raft;
 import bramblespool.state.Ledger;
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
@@ -57,7 +58,7 @@
     private final Clock clock;
     private final Wire wire;
     private final Platform platform;
-    private final Quorum quorum;
+    private final Raft raft;
     private final Ledger ledger;
     private final Duties duties;
     private final Registers registers;
@@ -78,7 +79,7 @@
     private long pausedUntil;
     private long refusedFence = -1;
 
-    Metering(Settings settings, boolean fresh, Clock clock, Wire wire, Platform platform, Quorum quorum, Ledger ledger,
+    Metering(Settings settings, boolean fresh, Clock clock, Wire wire, Platform platform, Raft raft, Ledger ledger,
             Duties duties, Registers registers, News news, Supplier<Collection<String>> helms, Supplier<Collection<String>> members, long callMs,
             Log log) {
         this.rules = settings.metering();
@@ -88,7 +89,7 @@
         this.clock = clock;
         this.wire = wire;
         this.platform = platform;
-        this.quorum = quorum;
+        this.raft = raft;
         this.ledger = ledger;
         this.duties = duties;
         this.registers = registers;
@@ -196,7 +197,7 @@
 
     private boolean holds() {
         Ledger.Duty d = ledger.duties().get(DUTY);
-        if (d == null || !d.holder().equals(peer) || !quorum.hasRight()) {
+        if (d == null || !d.holder().equals(peer) || !raft.hasRight()) {
             return false;
         }
         if (d.fence() != underFence) {
@@ -339,9 +340,9 @@
 
     /** Asks the leader for a higher fence, in case the duty is still this helm's. */
     private void raise(long fence) {
-        String leader = quorum.leaderId();
-        if (leader != null && !quorum.leads()) {
-            wire.call(Quorum.addressOf(leader), "raise", JsonNodeFactory.instance.objectNode().put("key", DUTY).put("fence", fence),
+        String leader = raft.leaderId();
+        if (leader != null && !raft.leads()) {
+            wire.call(Raft.addressOf(leader), "raise", JsonNodeFactory.instance.objectNode().put("key", DUTY).put("fence", fence),
                     callMs, a -> { });
         } else {
             duties.raise(DUTY, fence);
--- a/src/main/java/bramblespool/coordination/Registers.java
+++ b/src/main/java/bramblespool/coordination/Registers.java
@@ -1,5 +1,6 @@
 package bramblespool.coordination;
 
+import bramblespool.raft.Raft;
 import bramblespool.state.Ledger;
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
@@ -79,7 +80,7 @@
             long lifeMs, Log log) {
         this.ledger = ledger;
         this.self = self;
-        this.founder = self.endsWith("#" + Quorum.FOUNDER);
+        this.founder = self.endsWith("#" + Raft.FOUNDER);
         this.copies = copies;
         this.vault = vault;
         this.clock = clock;
@@ -143,10 +144,10 @@
         if (!settled()) {
             return false;
         }
-        List<String> addresses = ledger.voters().keySet().stream().map(Quorum::addressOf).toList();
+        List<String> addresses = ledger.voters().keySet().stream().map(Raft::addressOf).toList();
         // Two voters at one address are a lost disk and its successor: neither goes first until one of them is gone.
         return Set.copyOf(addresses).size() == addresses.size()
-                && Quorum.addressOf(self).equals(Rendezvous.first(sliceOf(id), addresses));
+                && Raft.addressOf(self).equals(Rendezvous.first(sliceOf(id), addresses));
     }
 
     // ---- proposing
@@ -386,7 +387,7 @@
                 a.add(i.value);
             }
         }
-        wire.call(Quorum.addressOf(voter), "register", m, callMs, a -> {
+        wire.call(Raft.addressOf(voter), "register", m, callMs, a -> {
             JsonNode replies = a == null ? null : a.path("items");
             for (int n = 0; n < items.size(); n++) {
                 items.get(n).reply.accept(replies == null || n >= replies.size() ? null : read(replies.get(n)));
@@ -548,7 +549,7 @@
 
     private void read(String from, long epoch, String after, Map<String, Vault.Kept> into, Consumer<Boolean> done) {
         ObjectNode m = JsonNodeFactory.instance.objectNode().put("to", from).put("epoch", epoch).put("after", after);
-        wire.call(Quorum.addressOf(from), "registers", m, callMs * 4, a -> {
+        wire.call(Raft.addressOf(from), "registers", m, callMs * 4, a -> {
             if (a == null || !a.path("items").isArray() || ledger.votersSince() != epoch) {
                 done.accept(false);
                 return;
--- a/src/main/java/bramblespool/coordination/Slices.java
+++ b/src/main/java/bramblespool/coordination/Slices.java
@@ -1,5 +1,6 @@
 package bramblespool.coordination;
 
+import bramblespool.raft.Raft;
 import bramblespool.state.Ledger;
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
@@ -74,7 +75,7 @@
         this.ledger = ledger;
         this.registers = registers;
         this.self = self;
-        this.peer = Quorum.addressOf(self);
+        this.peer = Raft.addressOf(self);
         this.clock = clock;
         this.wire = wire;
         this.leaseMs = quiet / LEASE;
@@ -148,7 +149,7 @@
             if (voter.equals(self)) {
                 one.accept(decide(kind, m));
             } else {
-                wire.call(Quorum.addressOf(voter), kind, m.deepCopy().put("to", voter).put("epoch", ledger.votersSince()), leaseMs,
+                wire.call(Raft.addressOf(voter), kind, m.deepCopy().put("to", voter).put("epoch", ledger.votersSince()), leaseMs,
                         a -> one.accept(a != null && a.path("ok").asBoolean()));
             }
         }
--- /dev/null
+++ b/src/main/java/bramblespool/raft/Raft.java
@@ -0,0 +1,414 @@
+package bramblespool.raft;
+
+import bramblespool.state.Ledger;
+import bramblespool.state.Log;
+import bramblespool.state.Log.Event;
+import bramblespool.state.Vault;
+import bramblespool.transport.Clock;
+import bramblespool.transport.Wire;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Agreement among the helms: Raft with pre-vote, check-quorum, snapshots and one membership change at a time.
+ * A member is its peer address and the incarnation kept on its disk, written {@code address#incarnation}.
+ */
+public final class Raft {
+    enum Role { FOLLOWER, CANDIDATE, LEADER }
+
+    /** The incarnation of a disk that took part in the founding. */
+    public static final String FOUNDER = "0";
+    /** Entries applied before the log is folded into a snapshot. */
+    private static final int FOLD = 128;
+
+    final String self;
+    final String control;
+    final Clock clock;
+    final Wire wire;
+    final Vault vault;
+    final StateMachine machine;
+    final Times times;
+    final Log log;
+    final RaftLog entries;
+    final Election election;
+    final Replication replication;
+    final Reads reads;
+    final Rights rights;
+    final Configuration configuration;
+    private final int copies;
+
+    private long term;
+    private String vote;
+    /** The highest index known to be agreed, and the highest one that the machine has had. */
+    long commit;
+    private long applied;
+    Role role = Role.FOLLOWER;
+    private String leader;
+    private String leaderControl;
+    private long leaderHeard;
+    private boolean ready;
+    private boolean stopped;
+    long leadingSince;
+    private final Map<Long, Consumer<Boolean>> waiting = new HashMap<>();
+
+    /** {@code losses}: how many disks may be lost at one time with nothing agreed lost and a majority left. */
+    public Raft(String self, String control, int founders, int losses, Vault.Saved saved, Clock clock, Wire wire, Vault vault,
+            StateMachine machine, Times times, Log log) {
+        this.self = self;
+        this.control = control;
+        this.clock = clock;
+        this.wire = wire;
+        this.vault = vault;
+        this.machine = machine;
+        this.times = times;
+        this.log = log;
+        this.copies = losses + 1;
+        this.term = saved.term();
+        this.vote = saved.vote();
+        this.entries = new RaftLog(saved);
+        this.applied = entries.base();
+        if (entries.snapshot().data() != null) {
+            machine.restore(RaftLog.parse(entries.snapshot().data()));
+        }
+        this.commit = Math.max(entries.base(), Math.min(saved.commit(), entries.last()));
+        this.leaderHeard = clock.now() - times.election();
+        this.election = new Election(this);
+        this.replication = new Replication(this);
+        this.reads = new Reads(this);
+        this.rights = new Rights(this);
+        this.configuration = new Configuration(this, Math.max(founders, 2 * losses + 1));
+    }
+
+    public void start() {
+        apply();
+        tick();
+    }
+
+    public void stop() {
+        stopped = true;
+        if (role == Role.LEADER) {
+            stepDown(term, "stopping");
+        }
+    }
+
+    public boolean leads() {
+        return role == Role.LEADER && ready;
+    }
+
+    /** The control address of the leader as far as is known, or null. */
+    public String leaderControl() {
+        return role == Role.LEADER ? control : leaderControl;
+    }
+
+    public String self() {
+        return self;
+    }
+
+    public long term() {
+        return term;
+    }
+
+    public long applied() {
+        return applied;
+    }
+
+    public String leaderId() {
+        return role == Role.LEADER ? self : leader;
+    }
+
+    /** The addresses of the members that answer this leader, its own among them. */
+    public List<String> alive() {
+        List<String> out = new ArrayList<>();
+        for (String v : voters()) {
+            Follower f = replication.follower(v);
+            if (v.equals(self) || f != null && clock.now() - f.heard < times.election() * 2) {
+                out.add(addressOf(v));
+            }
+        }
+        return out;
+    }
+
+    /** Whether this member leads or has lately heard from who does. */
+    public boolean inTouch() {
+        return leads() || role == Role.FOLLOWER && leader != null && clock.now() - leaderHeard < times.election() * 2;
+    }
+
+    /** Whether this member may go on with a duty that it holds for itself alone. */
+    public boolean hasRight() {
+        return rights.held();
+    }
+
+    /** The addresses of the voters whose right may still stand, as the leader knows. */
+    public List<String> withRight() {
+        return rights.standing();
+    }
+
+    /** The voters as the newest entry that names them says, agreed or not. */
+    public List<String> voters() {
+        return entries.voters();
+    }
+
+    /** The first entry of every founding member: the founders, whom all derive alike from their settings. */
+    public static Vault.Entry founding(List<String> addresses) {
+        return new Vault.Entry(1, 0, RaftLog.members(addresses.stream().sorted().map(a -> a + "#" + FOUNDER).toList()).toString());
+    }
+
+    public static String addressOf(String id) {
+        return id.substring(0, id.indexOf('#'));
+    }
+
+    // ---- time
+
+    private void tick() {
+        if (stopped) {
+            return;
+        }
+        clock.after(Math.max(1, times.heartbeat() / 2), this::tick);
+        long now = clock.now();
+        if (role == Role.LEADER) {
+            lead(now);
+        } else if (election.due(now) && now - leaderHeard >= times.election() && voters().contains(self) && healthy()) {
+            election.campaign(true);
+        }
+    }
+
+    boolean healthy() {
+        long since = vault.waitingSince();
+        return !vault.failing() && (since < 0 || clock.now() - since < times.election());
+    }
+
+    boolean leaderNear() {
+        return role == Role.LEADER || leader != null && clock.now() - leaderHeard < times.election();
+    }
+
+    private void lead(long now) {
+        if (!healthy()) {
+            stepDown(term, "disk");
+            return;
+        }
+        int near = 1;
+        for (String v : voters()) {
+            Follower f = replication.follower(v);
+            if (f != null && now - f.heard < times.election() * 2) {
+                near++;
+            }
+        }
+        if (near < majority()) {
+            stepDown(term, "no quorum");
+            return;
+        }
+        reads.expire(now);
+        configuration.step(now);
+        replication.replicate(false);
+    }
+
+    // ---- roles
+
+    void candidate() {
+        term++;
+        vote = self;
+        role = Role.CANDIDATE;
+        leader = null;
+        leaderControl = null;
+    }
+
+    /** Gives its vote in the present term to that member, unless another one has it. */
+    boolean voteFor(String candidate) {
+        if (vote != null && !vote.equals(candidate)) {
+            return false;
+        }
+        vote = candidate;
+        return true;
+    }
+
+    void becomeLeader() {
+        role = Role.LEADER;
+        leader = self;
+        leaderControl = control;
+        leadingSince = clock.now();
+        ready = false;
+        replication.clear();
+        log.say(Event.LEADING, "term", term);
+        append(Ledger.entry("noop"), ok -> {
+            if (ok && role == Role.LEADER) {
+                ready = true;
+                machine.leading(true);
+            }
+        });
+    }
+
+    void stepDown(long newTerm, String why) {
+        boolean led = role == Role.LEADER;
+        boolean newer = newTerm > term;
+        if (newer) {
+            term = newTerm;
+            vote = null;
+        }
+        role = Role.FOLLOWER;
+        replication.clear();
+        if (led) {
+            log.say(Event.STEPPED_DOWN, "term", term, "why", why);
+            leader = null;
+            leaderControl = null;
+            configuration.clear();
+            List<Consumer<Boolean>> lost = new ArrayList<>(waiting.values());
+            waiting.clear();
+            lost.addAll(reads.drain());
+            if (ready) {
+                ready = false;
+                machine.leading(false);
+            }
+            lost.forEach(d -> d.accept(false));
+        }
+        election.postpone();
+        if (newer) {
+            persist(0, List.of(), null, () -> { });
+        }
+    }
+
+    // ---- log
+
+    int majority() {
+        return voters().size() / 2 + 1;
+    }
+
+    /**
+     * How many durable copies make an entry agreed: a majority, and more than may be lost, also while the group is
+     * still too small for the one to imply the other.
+     */
+    int enough() {
+        return Math.max(majority(), Math.min(copies, voters().size()));
+    }
+
+    void persist(long truncateFrom, List<Vault.Entry> added, Vault.Snapshot snapshot, Runnable done) {
+        vault.save(new Vault.Change(term, vote, commit, truncateFrom, List.copyOf(added), snapshot), done);
+    }
+
+    /** Proposes an entry; false means that this helm lost the lead, and says nothing about the entry. */
+    public void propose(ObjectNode entry, Consumer<Boolean> done) {
+        if (!leads()) {
+            done.accept(false);
+            return;
+        }
+        append(entry, done);
+    }
+
+    void append(ObjectNode entry, Consumer<Boolean> done) {
+        Vault.Entry e = new Vault.Entry(entries.last() + 1, term, entry.toString());
+        entries.add(e);
+        waiting.put(e.index(), done);
+        long inTerm = term;
+        persist(0, List.of(e), null, () -> {
+            if (term == inTerm && role == Role.LEADER) {
+                replication.stored(e.index());
+            }
+        });
+        replication.replicate(true);
+    }
+
+    /** Answers true once a quorum has confirmed that this helm still leads. */
+    public void confirm(Consumer<Boolean> done) {
+        reads.confirm(done);
+    }
+
+    void apply() {
+        while (applied < Math.min(commit, entries.last())) {
+            applied++;
+            Vault.Entry e = entries.get(applied);
+            machine.apply(e.index(), RaftLog.parse(e.data()));
+            Consumer<Boolean> w = waiting.remove(e.index());
+            if (w != null) {
+                w.accept(true);
+            }
+        }
+        if (applied - entries.base() >= FOLD) {
+            entries.fold(applied, machine.snapshot().toString());
+            persist(0, List.of(), entries.snapshot(), () -> { });
+            log.say(Event.SNAPSHOT_TAKEN, "index", entries.base());
+        }
+    }
+
+    void restore(Vault.Snapshot s) {
+        entries.replace(s);
+        commit = s.index();
+        applied = s.index();
+        machine.restore(RaftLog.parse(s.data()));
+    }
+
+    // ---- peers
+
+    ObjectNode message(String to) {
+        return JsonNodeFactory.instance.objectNode().put("to", to).put("from", self);
+    }
+
+    ObjectNode reply(boolean ok) {
+        return JsonNodeFactory.instance.objectNode().put("term", term).put("ok", ok).put("settled", machine.settled());
+    }
+
+    /** Serves one of the group's messages; false where the kind is another's. */
+    public boolean serve(String kind, JsonNode m, Consumer<ObjectNode> answer) {
+        switch (kind) {
+            case "vote", "append", "snap" -> {
+                if (stopped || !self.equals(m.path("to").asText())) {
+                    log.once(Event.MESSAGE_DROPPED, kind + m.path("to").asText(), "kind", kind, "cause", "not for this life");
+                    answer.accept(null);
+                } else if (kind.equals("vote")) {
+                    election.voteAsked(m, answer);
+                } else {
+                    fromLeader(kind, m, answer);
+                }
+                return true;
+            }
+            case "join" -> {
+                if (leads()) {
+                    configuration.asked(m.path("id").asText());
+                }
+                answer.accept(reply(role == Role.LEADER));
+                return true;
+            }
+            default -> {
+                return false;
+            }
+        }
+    }
+
+    private void fromLeader(String kind, JsonNode m, Consumer<ObjectNode> answer) {
+        long t = m.path("term").asLong();
+        if (t < term) {
+            answer.accept(reply(false).put("hint", entries.last()));
+            return;
+        }
+        if (t > term || role != Role.FOLLOWER) {
+            stepDown(t, "another leads");
+        }
+        leader = m.path("from").asText();
+        leaderControl = m.path("control").asText();
+        leaderHeard = clock.now();
+        election.postpone();
+        rights.heard(leader, m);
+        if (kind.equals("snap")) {
+            replication.install(m, answer);
+        } else {
+            replication.appendAsked(m, answer);
+        }
+    }
+
+    /** Asks to be taken in where this helm is no voter. */
+    public void join(Iterable<String> addresses) {
+        if (stopped || voters().contains(self)) {
+            return;
+        }
+        log.once(Event.JOINING, self, "member", self);
+        for (String a : addresses) {
+            if (!a.equals(addressOf(self))) {
+                wire.call(a, "join", JsonNodeFactory.instance.objectNode().put("id", self), times.call(), x -> { });
+            }
+        }
+    }
+}
--- a/src/main/java/bramblespool/role/Helm.java
+++ b/src/main/java/bramblespool/role/Helm.java
@@ -56,7 +56,7 @@
         ports.listen(s.peer(), wire, bounds);
         ports.listen(s.control(), this::control, bounds);
         core.start();
-        log.say(Event.READY, "member", core.quorum.self());
+        log.say(Event.READY, "member", core.raft.self());
     }
 
     private void control(HttpServerExchange x) {
@@ -74,8 +74,8 @@
             Exchanges.json(x, 404, error("no such call"));
         } else if (read ? !get : !post) {
             Exchanges.json(x, 405, error("wrong method"));
-        } else if (!core.quorum.leads()) {
-            String leader = core.quorum.leaderControl();
+        } else if (!core.raft.leads()) {
+            String leader = core.raft.leaderControl();
             if (leader == null) {
                 refuse(x, "no leader is known");
             } else {
--- a/src/test/java/bramblespool/Capacity.java
+++ b/src/test/java/bramblespool/Capacity.java
@@ -187,7 +187,7 @@
 
     private static void role(SimMesh mesh, Map<String, long[]> before, double s, int sides, String when) {
         Map<String, long[]> after = snapshot(mesh);
-        String leader = bramblespool.coordination.Quorum.addressOf(mesh.leader().quorum.self());
+        String leader = bramblespool.raft.Raft.addressOf(mesh.leader().raft.self());
         double[] helm = new double[2];
         double[] side = new double[2];
         after.forEach((p, v) -> {
--- a/src/test/java/bramblespool/ClusterTest.java
+++ b/src/test/java/bramblespool/ClusterTest.java
@@ -7,9 +7,9 @@
 
 import bramblespool.coordination.Fleet;
 import bramblespool.coordination.HelmCore;
-import bramblespool.coordination.Quorum;
 import bramblespool.coordination.WeftCore;
 import bramblespool.protocol.Orders;
+import bramblespool.raft.Raft;
 import bramblespool.sim.SimMesh;
 import bramblespool.state.Ledger;
 import java.util.ArrayList;
@@ -95,7 +95,7 @@
             Orders.Outcome[] got = new Orders.Outcome[1];
             mesh.order(SimMesh.change(6, 5, "two"), o -> got[0] = o);
             mesh.world.run(cutAt);
-            String led = mesh.leader().quorum.self().split("#")[0];
+            String led = mesh.leader().raft.self().split("#")[0];
             boolean acknowledged = got[0] != null && got[0].status() == 200;
             mesh.killHelm(led, true);
             mesh.world.run(8000);
@@ -121,7 +121,7 @@
         mesh.world.run(500);
         mesh.startHelm(peer, false);
         mesh.world.run(6000);
-        List<String> voters = mesh.leader().quorum.voters();
+        List<String> voters = mesh.leader().raft.voters();
         assertEquals(3, voters.size(), voters.toString());
         assertFalse(voters.contains(peer + "#0"), "the wiped incarnation is out: " + voters);
         // With its place taken the group bears the loss of another.
@@ -135,11 +135,11 @@
         SimMesh mesh = new SimMesh(5, 3, 3);
         mesh.world.run(4000);
         order(mesh, 5, 0, "one");
-        String led = mesh.leader().quorum.self().split("#")[0];
+        String led = mesh.leader().raft.self().split("#")[0];
         mesh.world.machine(led).disk.full = true;
         mesh.order(SimMesh.change(6, 5, "two"), o -> { });
         mesh.world.run(4000);
-        assertFalse(mesh.helms.get(led).quorum.leads(), "a helm that cannot sync gives up the lead");
+        assertFalse(mesh.helms.get(led).raft.leads(), "a helm that cannot sync gives up the lead");
         long now = mesh.leader().ledger().current().epoch();
         assertEquals(200, order(mesh, 8, now, "three").status());
         mesh.world.machine(led).disk.full = false;
@@ -177,7 +177,7 @@
         mesh.world.run(500);
         mesh.order(SimMesh.change(7, 5, "lost"), o -> { });
         mesh.world.run(killedAfter);
-        mesh.killHelm(Quorum.addressOf(mesh.leader().quorum.leaderId()), true);
+        mesh.killHelm(Raft.addressOf(mesh.leader().raft.leaderId()), true);
         String away = SimMesh.weftPeer(1);
         mesh.world.isolate(away, true);
         for (int i = 0; i < 200 && (mesh.leader() == null || mesh.leader().ledger().candidate() != null); i++) {
@@ -222,7 +222,7 @@
         order(mesh, 5, 0, "one");
         mesh.world.run(1000);
         String cut = mesh.helms.keySet().stream()
-                .filter(h -> !h.equals(Quorum.addressOf(mesh.leader().quorum.leaderId()))).findFirst().orElseThrow();
+                .filter(h -> !h.equals(Raft.addressOf(mesh.leader().raft.leaderId()))).findFirst().orElseThrow();
         for (String h : mesh.helms.keySet()) {
             mesh.world.cut(cut, h, !h.equals(cut));
             mesh.world.cut(h, cut, !h.equals(cut));
@@ -299,7 +299,7 @@
         WeftCore weft = mesh.wefts.get(SimMesh.weftPeer(0));
         Ledger.Duty first = leased(mesh, weft);
         mesh.killHelm(first.holder(), true);
-        String leader = mesh.leader() == null ? null : Quorum.addressOf(mesh.leader().quorum.leaderId());
+        String leader = mesh.leader() == null ? null : Raft.addressOf(mesh.leader().raft.leaderId());
         if (leader != null) {
             mesh.killHelm(leader, true);
             mesh.startHelm(leader, false);
@@ -330,7 +330,7 @@
         SimMesh mesh = new SimMesh(seed, helms, 4, helms / 2, null);
         mesh.world.run(6000);
         assertEquals(200, order(mesh, 5, 0, "one").status());
-        String leader = Quorum.addressOf(mesh.leader().quorum.leaderId());
+        String leader = Raft.addressOf(mesh.leader().raft.leaderId());
         List<Long> confirmed = new ArrayList<>();
         Random r = mesh.world.random;
         mesh.world.run(r.nextInt(400));
@@ -346,7 +346,7 @@
             }
             long mine = i % 2 == 0 ? 7 : 8;
             mesh.helms.forEach((peer, h) -> {
-                if (h.quorum.leads() && peer.equals(leader) == (mine == 7)) {
+                if (h.raft.leads() && peer.equals(leader) == (mine == 7)) {
                     h.change(SimMesh.change(mine, 5, "p" + mine), o -> {
                         if (o.status() == 200) {
                             confirmed.add(mine);
--- a/src/test/java/bramblespool/GatewayTest.java
+++ b/src/test/java/bramblespool/GatewayTest.java
@@ -252,7 +252,7 @@
     void twoDisksLostAndPowerGoneKeepWhatWasAcknowledged(long seed) {
         SimMesh m = new SimMesh(seed, 5, 2, 2, platform);
         m.world.run(6000);
-        assertEquals(5, m.leader().quorum.voters().size());
+        assertEquals(5, m.leader().raft.voters().size());
         Orders.Outcome[] got = new Orders.Outcome[1];
         m.order(SimMesh.change(5, 0, "one"), o -> got[0] = o);
         while (got[0] == null) {
--- a/src/test/java/bramblespool/HundredsTest.java
+++ b/src/test/java/bramblespool/HundredsTest.java
@@ -6,9 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import bramblespool.coordination.HelmCore;
-import bramblespool.coordination.Quorum;
 import bramblespool.coordination.WeftCore;
 import bramblespool.protocol.Orders;
+import bramblespool.raft.Raft;
 import bramblespool.sim.SimMesh;
 import bramblespool.sim.SimWorld;
 import bramblespool.state.Ledger;
@@ -83,7 +83,7 @@
     @Test
     void oneChangeCostsTheLeaderLittleAndEachSideFourMessages() {
         mesh.world.run(8000);
-        String leader = Quorum.addressOf(mesh.leader().quorum.leaderId());
+        String leader = Raft.addressOf(mesh.leader().raft.leaderId());
         long idle = -mesh.world.messages;
         double idleWork = -mesh.world.machine(leader).worked;
         mesh.world.run(1000);
@@ -149,7 +149,7 @@
         Orders.Outcome[] got = new Orders.Outcome[1];
         mesh.order(SimMesh.change(6, 5, "two"), o -> got[0] = o);
         mesh.world.run(killedAfter);
-        mesh.killHelm(Quorum.addressOf(mesh.leader().quorum.leaderId()), true);
+        mesh.killHelm(Raft.addressOf(mesh.leader().raft.leaderId()), true);
         mesh.world.run(5000);
         HelmCore next = mesh.leader();
         assertNotNull(next, "a new leader");
@@ -166,9 +166,9 @@
     @Test
     void aHelmThatDoesNotKeepUpShedsComparisonsAndNothingElse() {
         mesh.world.run(8000);
-        String slow = mesh.helms.keySet().stream().filter(h -> !h.equals(Quorum.addressOf(mesh.leader().quorum.leaderId())))
+        String slow = mesh.helms.keySet().stream().filter(h -> !h.equals(Raft.addressOf(mesh.leader().raft.leaderId())))
                 .findFirst().orElseThrow();
-        long term = mesh.leader().quorum.term();
+        long term = mesh.leader().raft.term();
         mesh.world.machine(slow).messageMs = 14;
         int lost = 0;
         boolean strained = false;
@@ -186,7 +186,7 @@
         }
         assertTrue(strained, "it says so");
         assertEquals(0, lost, "sessions lost");
-        assertEquals(term, mesh.leader().quorum.term(), "no election");
+        assertEquals(term, mesh.leader().raft.term(), "no election");
         mesh.world.machine(slow).messageMs = 14;
         mesh.world.run(4000);
         assertEquals(200, order(SimMesh.change(5, 0, "one"), 1000).status());
@@ -196,9 +196,9 @@
     @Test
     void aZoneAndAVoterElsewhereLeaveAMajority() {
         mesh.world.run(12_000);
-        List<String> voters = mesh.leader().quorum.voters();
+        List<String> voters = mesh.leader().raft.voters();
         assertEquals(5, voters.size(), voters.toString());
-        List<String> lost = voters.stream().map(Quorum::addressOf).limit(2).toList();
+        List<String> lost = voters.stream().map(Raft::addressOf).limit(2).toList();
         int zone = Integer.parseInt(lost.get(0).replaceAll("10.0.0.(\\d+):.*", "$1")) - 1;
         for (int i = zone; i < SIDES; i += 6) {
             mesh.killWeft(SimMesh.weftPeer(i));
--- a/src/test/java/bramblespool/RegisterTest.java
+++ b/src/test/java/bramblespool/RegisterTest.java
@@ -227,7 +227,7 @@
             mesh.startHelm(SimMesh.helmPeer(lost), false);
             mesh.world.run(12_000);
             assertTrue(mesh.helms.get(SimMesh.helmPeer(lost)).registers.settled(), "the new voter has read them");
-            assertEquals(3, mesh.leader().quorum.voters().size());
+            assertEquals(3, mesh.leader().raft.voters().size());
         }
         for (int i = 0; i < 8; i++) {
             assertEquals(Outcome.HELD, set(i + "/k", "second " + i, null));
@@ -242,7 +242,7 @@
         mesh.helms.values().forEach(h -> {
             long before = mesh.world.messages;
             boolean[] won = new boolean[1];
-            h.registers.set("5/k" + mesh.helms.size() + h.quorum.self(), "a", null, 400, r -> won[0] = r.outcome() == Outcome.WON);
+            h.registers.set("5/k" + mesh.helms.size() + h.raft.self(), "a", null, 400, r -> won[0] = r.outcome() == Outcome.WON);
             mesh.world.run(60);
             assertTrue(won[0]);
             least[0] = Math.min(least[0], mesh.world.messages - before);
--- a/src/test/java/bramblespool/sim/SimMesh.java
+++ b/src/test/java/bramblespool/sim/SimMesh.java
@@ -193,7 +193,7 @@
     public HelmCore leader() {
         HelmCore best = null;
         for (HelmCore h : helms.values()) {
-            if (h.quorum.leads() && (best == null || h.quorum.term() > best.quorum.term())) {
+            if (h.raft.leads() && (best == null || h.raft.term() > best.raft.term())) {
                 best = h;
             }
         }
