Nothing is said of what is decided without a majority; voters change by joint consensus

Cause: a leader that was cut off refused (412) and repeated (200) from its own state until it stepped down. A lost voter gave way to a spare one only after stretch, though the budget counts a loss as over catchUp after its successor's start; on the way from three to four voters all but one had to be there. A member replaced while it was away never asked to be taken in again. A helm that ended gave up the lead to nobody. The known leader's address never lapsed.

Change: every answer that depends on the agreed state waits for ReadIndex in the present term. Voters is a group, or two in one while it changes; elections, commits, reads, check-quorum, rights, registers and leases count both. SIGTERM: leadership transfer, then the next leader lets the member go once its place is taken and all that is agreed lies on enough other disks.

--- a/src/main/java/bramblespool/coordination/Commit.java
+++ b/src/main/java/bramblespool/coordination/Commit.java
@@ -103,7 +103,13 @@
     }
 
     public void submit(Orders.Change change, Consumer<Orders.Outcome> done) {
-        queue.add(new Order(change, done));
+        Order o = new Order(change, done);
+        if (ledger.taken(change.digest())) {
+            // A repeat need not wait for those before it.
+            answer(o, Orders.Outcome.taken(ledger.current().epoch()));
+            return;
+        }
+        queue.add(o);
         if (!busy) {
             next();
         }
@@ -119,23 +125,23 @@
     private void start(Order o) {
         Orders.Change change = o.change;
         if (ledger.taken(change.digest())) {
-            o.done.accept(Orders.Outcome.taken(ledger.current().epoch()));
+            answer(o, Orders.Outcome.taken(ledger.current().epoch()));
             return;
         }
         Config config;
         try {
             if (change.base() != ledger.current().epoch()) {
-                refuse(o, Orders.Outcome.stale(ledger.current().epoch()));
+                answer(o, Orders.Outcome.stale(ledger.current().epoch()));
                 return;
             }
             JsonObject whole = change.whole(currentConfig());
             config = Config.compile(whole, Packed.pack(whole.toString()));
         } catch (Config.Invalid e) {
-            refuse(o, Orders.Outcome.invalid(e.getMessage()));
+            answer(o, Orders.Outcome.invalid(e.getMessage()));
             return;
         }
         if (config.epoch <= ledger.current().epoch()) {
-            refuse(o, Orders.Outcome.invalid("epoch: must be above " + ledger.current().epoch()));
+            answer(o, Orders.Outcome.invalid("epoch: must be above " + ledger.current().epoch()));
             return;
         }
         busy = true;
@@ -153,9 +159,22 @@
         });
     }
 
-    private void refuse(Order o, Orders.Outcome outcome) {
-        log.say(Event.CONFIG_REFUSED, "status", outcome.status(), "why", outcome.word());
-        o.done.accept(outcome);
+    /**
+     * An answer that says what is decided. It holds for the moment when it was worked out, if a majority of this term has
+     * confirmed since that nobody else leads; else there is none, for another leader may have decided more.
+     */
+    private void answer(Order o, Orders.Outcome outcome) {
+        raft.confirm(ok -> {
+            if (!ok) {
+                log.say(Event.NO_MAJORITY, "status", outcome.status(), "why", outcome.word());
+                o.done.accept(Orders.Outcome.unclear("no majority confirms it"));
+                return;
+            }
+            if (outcome.status() != 200) {
+                log.say(Event.CONFIG_REFUSED, "status", outcome.status(), "why", outcome.word());
+            }
+            o.done.accept(outcome);
+        });
     }
 
     private Config currentConfig() throws Config.Invalid {
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -34,6 +34,7 @@
     /** Ratios to {@code quiet}. */
     private static final int RENEWALS = 6;
     private static final int CALLS = 10;
+    private static final int JOINS = 12;
     /** Ratio to {@code drain} of the time for which news heard is gathered before it is passed on. */
     private static final int GATHER = 100;
     /** Readings of a list within {@code drain}: time for one that fails, and for a new reader to start over. */
@@ -136,7 +137,7 @@
         this.quota = new Quota(clock, b.quotaWindow(), b.quotaExcess(), b.quotaSlack());
         this.raft = new Raft(member, settings.control(),
                 Math.max(1, settings.seeds().size()), settings.lossMachines(), saved, clock, wire, vault, this,
-                Times.of(b.quiet(), b.stretch()), log);
+                Times.of(b.quiet(), b.catchUp()), log);
         this.commit = new Commit(raft, ledger, this::phase, () -> new HashSet<>(members), clock,
                 Commit.Times.of(b.ack(), b.apply()), log);
         if (platform != null && settings.discovery() == Settings.Discovery.PLATFORM) {
@@ -161,9 +162,9 @@
         if (metering != null) {
             metering.start();
         }
+        clock.soon(this::join);
         clock.every(renew, () -> {
             sweep();
-            raft.join(helms());
             registers.settle();
             if (toldVoter != ledger.voters().containsKey(raft.self())) {
                 tellSelf();
@@ -177,6 +178,11 @@
         clock.every(renew / ROUNDS, this::dutyRound);
     }
 
+    private void join() {
+        raft.join(helms());
+        clock.after(settings.bounds().quiet() / JOINS, this::join);
+    }
+
     /** The duties there are: those the log knows, and those that were asked for since. */
     private Set<String> keys() {
         Set<String> out = new TreeSet<>(ledger.duties().keySet());
@@ -502,8 +508,14 @@
 
     @Override
     public void apply(long index, JsonNode entry) {
+        long votersSince = ledger.votersSince();
         ledger.apply(index, entry);
         publishSoon();
+        if (ledger.votersSince() != votersSince) {
+            // The group changes no further until whoever is new has read what the others hold.
+            clock.soon(registers::settle);
+            slices.votersChanged();
+        }
     }
 
     @Override
@@ -514,6 +526,7 @@
     @Override
     public void restore(JsonNode data) {
         ledger.restore(data);
+        slices.votersChanged();
         publishSoon();
     }
 
@@ -575,11 +588,6 @@
             done.accept(Orders.Outcome.unclear("not the leader"));
             return;
         }
-        if (ledger.taken(change.digest())) {
-            raft.confirm(ok -> done.accept(ok ? Orders.Outcome.taken(ledger.current().epoch())
-                    : Orders.Outcome.unclear("no quorum")));
-            return;
-        }
         commit.submit(change, done);
     }
 
@@ -673,10 +681,20 @@
         return n;
     }
 
-    /** Leaves the group's work: gives up the lead and tells its wefts to turn elsewhere. */
+    /** Leaves the group's work: hands over the lead and its place, and tells its wefts to turn elsewhere. */
     public void leave() {
         gone = true;
         tellSelf();
+        raft.leave();
+    }
+
+    /** Whether the group can go on without this helm as well as with it. */
+    public boolean left() {
+        return raft.left();
+    }
+
+    /** Takes no further part. */
+    public void stop() {
         raft.stop();
     }
 }
--- a/src/main/java/bramblespool/coordination/Registers.java
+++ b/src/main/java/bramblespool/coordination/Registers.java
@@ -5,6 +5,7 @@
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
 import bramblespool.state.Vault;
+import bramblespool.state.Voters;
 import bramblespool.transport.Clock;
 import bramblespool.transport.Wire;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -71,6 +72,30 @@
     private record Item(boolean prepare, String id, Ballot ballot, String value, Consumer<Reply> reply) {
     }
 
+    /** Who has agreed and who has not, and whether that decides the round, under the voters that were in force when it began. */
+    private final class Count {
+        private final Voters group = ledger.group();
+        private final Set<String> yes = new HashSet<>();
+        private final Set<String> no = new HashSet<>();
+
+        boolean won() {
+            return group.enough(yes::contains, copies);
+        }
+
+        boolean lost() {
+            return !group.enough(v -> !no.contains(v), copies);
+        }
+
+        void add(String voter, Reply r) {
+            (r != null && r.ok ? yes : no).add(voter);
+        }
+    }
+
+    /** Takes one voter's answer. */
+    private interface Each {
+        void reply(String voter, Reply r);
+    }
+
     /** What an acceptor answers: whether it agrees, and what it has accepted; or null where it is silent. */
     private record Reply(boolean ok, long seen, Ballot accepted, String value) {
     }
@@ -130,11 +155,6 @@
         return founder && since == 1 || settledSince == since;
     }
 
-    private int enough() {
-        int n = ledger.voters().size();
-        return Math.max(n / 2 + 1, Math.min(copies, n));
-    }
-
     /** The slice that a register belongs to, as its id tells before the slash. */
     static String sliceOf(String id) {
         return Admission.SLICE + id.substring(0, id.indexOf('/'));
@@ -238,25 +258,24 @@
         private void prepare() {
             number++;
             Ballot b = new Ballot(number, ledger.votersSince(), self);
-            int need = enough();
             int mine = ++turn;
             List<Reply> promises = new ArrayList<>();
             long[] seen = {0};
-            int[] open = {ledger.voters().size()};
-            toAll(true, b, null, r -> {
-                open[0]--;
+            Count count = new Count();
+            toAll(true, b, null, (voter, r) -> {
                 if (over || mine != turn) {
                     return;
                 }
+                count.add(voter, r);
                 if (r != null && r.ok) {
                     promises.add(r);
                 } else if (r != null) {
                     seen[0] = Math.max(seen[0], r.seen);
                 }
-                if (promises.size() >= need) {
+                if (count.won()) {
                     turn++;
                     choose(b, promises);
-                } else if (promises.size() + open[0] < need) {
+                } else if (count.lost()) {
                     turn++;
                     again(seen[0]);
                 }
@@ -294,28 +313,24 @@
         }
 
         private void accept(Ballot b, String v) {
-            int need = enough();
             int mine = ++turn;
-            int[] yes = {0};
             long[] seen = {0};
-            int[] open = {ledger.voters().size()};
-            Consumer<Reply> one = r -> {
-                open[0]--;
+            Count count = new Count();
+            Each one = (voter, r) -> {
                 if (over || mine != turn) {
                     return;
                 }
-                if (r != null && r.ok) {
-                    yes[0]++;
-                } else if (r != null) {
+                count.add(voter, r);
+                if (r != null && !r.ok) {
                     seen[0] = Math.max(seen[0], r.seen);
                 }
-                if (yes[0] >= need) {
+                if (count.won()) {
                     turn++;
                     if (acceptor.get(id) != null && b.equals(acceptor.get(id).accepted())) {
                         chosen.add(id);
                     }
                     end(new Result(Outcome.WON, v));
-                } else if (yes[0] + open[0] < need) {
+                } else if (count.lost()) {
                     turn++;
                     again(seen[0]);
                 }
@@ -329,27 +344,25 @@
                 if (r != null && r.ok) {
                     for (String voter : ledger.voters().keySet()) {
                         if (!voter.equals(self)) {
-                            give(voter, new Item(false, id, b, v, one));
+                            give(voter, new Item(false, id, b, v, o -> one.reply(voter, o)));
                         }
                     }
                 }
-                one.accept(r);
+                one.reply(self, r);
                 if (r == null || !r.ok) {
-                    for (int i = open[0]; i > 0; i--) {
-                        one.accept(null);
-                    }
+                    ledger.voters().keySet().forEach(voter -> one.reply(voter, null));
                 }
             });
             local(List.of(own));
         }
 
-        private void toAll(boolean prepare, Ballot b, String v, Consumer<Reply> reply) {
+        private void toAll(boolean prepare, Ballot b, String v, Each each) {
             if (ledger.voters().isEmpty()) {
                 end(Result.UNKNOWN);
                 return;
             }
             for (String voter : List.copyOf(ledger.voters().keySet())) {
-                Item i = new Item(prepare, id, b, v, reply);
+                Item i = new Item(prepare, id, b, v, r -> each.reply(voter, r));
                 if (voter.equals(self)) {
                     local(List.of(i));
                 } else {
@@ -520,7 +533,7 @@
         }
         settling = true;
         long epoch = ledger.votersSince();
-        List<String> others = new ArrayList<>(ledger.voters().keySet());
+        List<String> others = new ArrayList<>(ledger.group().before());
         others.remove(self);
         int need = others.size() / 2 + 1;
         Map<String, Vault.Kept> read = new TreeMap<>();
--- a/src/main/java/bramblespool/coordination/Slices.java
+++ b/src/main/java/bramblespool/coordination/Slices.java
@@ -4,6 +4,7 @@
 import bramblespool.state.Ledger;
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
+import bramblespool.state.Voters;
 import bramblespool.transport.Clock;
 import bramblespool.transport.Wire;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -15,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
@@ -54,6 +56,8 @@
     private final long renewMs;
     private final long refreshMs;
     private final long born;
+    private boolean voting;
+    private long votingSince;
     /** As a voter: when each helm was last granted a lease, and until when it is granted none. */
     private final Map<String, Long> granted = new HashMap<>();
     private final Map<String, Long> barred = new HashMap<>();
@@ -87,6 +91,15 @@
         newLife();
     }
 
+    /** The voters have changed: what those before a new one granted and promised it does not know. */
+    void votersChanged() {
+        boolean is = ledger.voters().containsKey(self);
+        if (is && !voting) {
+            votingSince = clock.now();
+        }
+        voting = is;
+    }
+
     void start() {
         clock.every(renewMs, this::renew);
         clock.every(refreshMs, this::refresh);
@@ -98,10 +111,6 @@
 
     // ---- the lease
 
-    private int majority() {
-        return ledger.voters().size() / 2 + 1;
-    }
-
     /** Whether this helm may act for its slices now. */
     private boolean leased() {
         if (clock.now() - leasedSince < leaseMs * OWN_PART) {
@@ -129,10 +138,10 @@
         }
         long sentAt = clock.now();
         String asLife = life;
-        int need = majority();
-        int[] yes = {0};
-        Consumer<Boolean> one = ok -> {
-            if (ok && ++yes[0] == need && asLife.equals(life)) {
+        Voters group = ledger.group();
+        Set<String> yes = new HashSet<>();
+        BiConsumer<String, Boolean> one = (voter, ok) -> {
+            if (ok && yes.add(voter) && group.majority(yes::contains) && asLife.equals(life)) {
                 leasedSince = Math.max(leasedSince, sentAt);
                 if (lapsed) {
                     lapsed = false;
@@ -144,13 +153,13 @@
     }
 
     /** Asks every voter, this one among them. */
-    private void all(String kind, ObjectNode m, Consumer<Boolean> one) {
+    private void all(String kind, ObjectNode m, BiConsumer<String, Boolean> one) {
         for (String voter : List.copyOf(ledger.voters().keySet())) {
             if (voter.equals(self)) {
-                one.accept(decide(kind, m));
+                one.accept(voter, decide(kind, m));
             } else {
                 wire.call(Raft.addressOf(voter), kind, m.deepCopy().put("to", voter).put("epoch", ledger.votersSince()), leaseMs,
-                        a -> one.accept(a != null && a.path("ok").asBoolean()));
+                        a -> one.accept(voter, a != null && a.path("ok").asBoolean()));
             }
         }
     }
@@ -159,8 +168,8 @@
     private boolean decide(String kind, JsonNode m) {
         String holder = m.path("holder").asText();
         long now = clock.now();
-        if (now - born < leaseMs * BARRED) {
-            // What an earlier life of this process granted or promised is not known here.
+        if (now - Math.max(born, votingSince) < leaseMs * BARRED) {
+            // What an earlier life of this process, or the voters before it, granted or promised is not known here.
             return false;
         }
         if (kind.equals("lease/renew")) {
@@ -266,22 +275,24 @@
     }
 
     private void bar(String slice, Owner o) {
-        int need = majority();
-        int[] open = {ledger.voters().size()};
-        int[] yes = {0};
+        Voters group = ledger.group();
+        Set<String> yes = new HashSet<>();
+        Set<String> no = new HashSet<>();
         boolean[] over = new boolean[1];
-        all("lease/bar", JsonNodeFactory.instance.objectNode().put("holder", o.peer), ok -> {
-            open[0]--;
-            yes[0] += ok ? 1 : 0;
+        all("lease/bar", JsonNodeFactory.instance.objectNode().put("holder", o.peer), (voter, ok) -> {
+            (ok ? yes : no).add(voter);
             if (over[0]) {
                 return;
             }
-            if (yes[0] >= need) {
+            if (group.majority(yes::contains)) {
                 over[0] = true;
                 take(slice, o, o.written);
-            } else if (yes[0] + open[0] < need) {
+            } else if (!group.majority(v -> !no.contains(v))) {
                 over[0] = true;
                 taking.remove(slice);
+                // A voter has heard it: it is not silent, only not here. Barring it again and again would keep it so.
+                barred.remove(o.peer);
+                granted.put(o.peer, clock.now());
             }
         });
     }
--- a/src/main/java/bramblespool/raft/Election.java
+++ b/src/main/java/bramblespool/raft/Election.java
@@ -3,7 +3,9 @@
 import bramblespool.state.Log.Event;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /** Elections, each after a pre-vote, so that a member that was cut off disturbs nobody when it is back. */
@@ -29,7 +31,16 @@
         return raft.times.heartbeat() + (long) (raft.clock.chance() * raft.times.election() / 2);
     }
 
+    /** The last leader hands over to this member: the others need not wait for that one's silence. */
+    void take() {
+        campaign(false, true);
+    }
+
     void campaign(boolean pre) {
+        campaign(pre, false);
+    }
+
+    private void campaign(boolean pre, boolean handed) {
         if (!pre) {
             raft.candidate();
             raft.log.say(Event.ELECTION, "term", raft.term());
@@ -39,10 +50,11 @@
         }
         long asked = pre ? raft.term() + 1 : raft.term();
         List<String> voters = raft.voters();
-        int[] granted = {0};
+        Set<String> granted = new HashSet<>();
         boolean[] won = {false};
-        Runnable mine = () -> {
-            if (!won[0] && ++granted[0] >= raft.majority() && (pre ? raft.role != Raft.Role.LEADER && raft.term() + 1 == asked
+        Consumer<String> yes = from -> {
+            granted.add(from);
+            if (!won[0] && raft.group().majority(granted::contains) && (pre ? raft.role != Raft.Role.LEADER && raft.term() + 1 == asked
                     : raft.role == Raft.Role.CANDIDATE && raft.term() == asked)) {
                 won[0] = true;
                 if (pre) {
@@ -53,9 +65,9 @@
             }
         };
         if (pre) {
-            mine.run();
+            yes.accept(raft.self);
         } else {
-            raft.persist(0, List.of(), null, mine);
+            raft.persist(0, List.of(), null, () -> yes.accept(raft.self));
         }
         if (won[0]) {
             return;
@@ -64,7 +76,7 @@
             if (v.equals(raft.self)) {
                 continue;
             }
-            ObjectNode m = raft.message(v).put("term", asked).put("pre", pre).put("lastIndex", raft.entries.last())
+            ObjectNode m = raft.message(v).put("term", asked).put("pre", pre).put("handed", handed).put("lastIndex", raft.entries.last())
                     .put("lastTerm", raft.entries.lastTerm());
             raft.wire.call(Raft.addressOf(v), "vote", m, raft.times.call(), a -> {
                 if (a == null) {
@@ -73,7 +85,7 @@
                 if (a.path("term").asLong() > Math.max(raft.term(), pre ? asked : raft.term())) {
                     raft.stepDown(a.path("term").asLong(), "newer term");
                 } else if (a.path("ok").asBoolean()) {
-                    mine.run();
+                    yes.accept(v);
                 }
             });
         }
@@ -85,7 +97,7 @@
         RaftLog entries = raft.entries;
         boolean upToDate = m.path("lastTerm").asLong() > entries.lastTerm()
                 || m.path("lastTerm").asLong() == entries.lastTerm() && m.path("lastIndex").asLong() >= entries.last();
-        if (!raft.healthy() || raft.leaderNear() || asked < raft.term()) {
+        if (!raft.healthy() || raft.leaderNear() && !m.path("handed").asBoolean() || asked < raft.term()) {
             answer.accept(raft.reply(false));
             return;
         }
--- a/src/main/java/bramblespool/raft/Raft.java
+++ b/src/main/java/bramblespool/raft/Raft.java
@@ -4,6 +4,7 @@
 import bramblespool.state.Log;
 import bramblespool.state.Log.Event;
 import bramblespool.state.Vault;
+import bramblespool.state.Voters;
 import bramblespool.transport.Clock;
 import bramblespool.transport.Wire;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -16,7 +17,7 @@
 import java.util.function.Consumer;
 
 /**
- * Agreement among the helms: Raft with pre-vote, check-quorum, snapshots and one membership change at a time.
+ * Agreement among the helms: Raft with pre-vote, check-quorum, snapshots, joint consensus and leadership transfer.
  * A member is its peer address and the incarnation kept on its disk, written {@code address#incarnation}.
  */
 public final class Raft {
@@ -41,7 +42,7 @@
     final Reads reads;
     final Rights rights;
     final Configuration configuration;
-    private final int copies;
+    final int copies;
 
     private long term;
     private String vote;
@@ -54,7 +55,12 @@
     private long leaderHeard;
     private boolean ready;
     private boolean stopped;
+    private boolean leaving;
+    private boolean left;
     long leadingSince;
+    /** Who led before this member did, and when it was last heard. */
+    private String before;
+    private long beforeHeard;
     private final Map<Long, Consumer<Boolean>> waiting = new HashMap<>();
 
     /** {@code losses}: how many disks may be lost at one time with nothing agreed lost and a majority left. */
@@ -90,6 +96,7 @@
         tick();
     }
 
+    /** Gives up the lead, if need be to nobody, and takes no further part. */
     public void stop() {
         stopped = true;
         if (role == Role.LEADER) {
@@ -97,13 +104,60 @@
         }
     }
 
+    /**
+     * This member is to end: it campaigns no more, hands over the lead, and asks the next leader to be let go.
+     * {@link #left} tells when it may go.
+     */
+    public void leave() {
+        leaving = true;
+        askToGo();
+    }
+
+    /** Whether this member may end without the group missing it. */
+    public boolean left() {
+        return left;
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    private void askToGo() {
+        if (stopped || left) {
+            return;
+        }
+        clock.after(times.heartbeat(), this::askToGo);
+        if (role == Role.LEADER) {
+            return;
+        }
+        if (!voters().contains(self)) {
+            left = true;
+        } else if (leader != null && !leader.equals(self)) {
+            wire.call(addressOf(leader), "leave", message(leader).put("id", self), times.call(),
+                    a -> left |= a != null && a.path("ok").asBoolean());
+        }
+    }
+
+    /** Leadership transfer: a voter that has everything campaigns at once, and this member leads no more. */
+    private void handOver() {
+        String heir = replication.heir();
+        if (heir == null) {
+            return;
+        }
+        ObjectNode m = message(heir).put("term", term);
+        configuration.learners().forEach(m.putArray("learners")::add);
+        log.say(Event.HANDED_OVER, "term", term, "to", heir);
+        stepDown(term, "leaving");
+        wire.call(addressOf(heir), "lead", m, times.call(), a -> { });
+    }
+
     public boolean leads() {
         return role == Role.LEADER && ready;
     }
 
-    /** The control address of the leader as far as is known, or null. */
+    /** The control address of the leader, as far as one has been heard of lately; or null. */
     public String leaderControl() {
-        return role == Role.LEADER ? control : leaderControl;
+        return role == Role.LEADER ? leads() ? control : null : inTouch() ? leaderControl : null;
     }
 
     public String self() {
@@ -139,6 +193,11 @@
         return leads() || role == Role.FOLLOWER && leader != null && clock.now() - leaderHeard < times.election() * 2;
     }
 
+    /** When a member was heard by this leader, or by this member before it led. */
+    long lastHeard(String id, long now) {
+        return role == Role.LEADER && id.equals(before) ? Math.min(now, beforeHeard) : now;
+    }
+
     /** Whether this member may go on with a duty that it holds for itself alone. */
     public boolean hasRight() {
         return rights.held();
@@ -149,14 +208,19 @@
         return rights.standing();
     }
 
-    /** The voters as the newest entry that names them says, agreed or not. */
+    /** All who have a vote, as the newest entry that names them says, agreed or not. */
     public List<String> voters() {
+        return group().all();
+    }
+
+    /** The voters, or the change under way from some to others. */
+    public Voters group() {
         return entries.voters();
     }
 
     /** The first entry of every founding member: the founders, whom all derive alike from their settings. */
     public static Vault.Entry founding(List<String> addresses) {
-        return new Vault.Entry(1, 0, RaftLog.members(addresses.stream().sorted().map(a -> a + "#" + FOUNDER).toList()).toString());
+        return new Vault.Entry(1, 0, RaftLog.members(Voters.read(addresses.stream().sorted().map(a -> a + "#" + FOUNDER).toList())).toString());
     }
 
     public static String addressOf(String id) {
@@ -173,7 +237,7 @@
         long now = clock.now();
         if (role == Role.LEADER) {
             lead(now);
-        } else if (election.due(now) && now - leaderHeard >= times.election() && voters().contains(self) && healthy()) {
+        } else if (!leaving && election.due(now) && now - leaderHeard >= times.election() && voters().contains(self) && healthy()) {
             election.campaign(true);
         }
     }
@@ -192,20 +256,16 @@
             stepDown(term, "disk");
             return;
         }
-        int near = 1;
-        for (String v : voters()) {
-            Follower f = replication.follower(v);
-            if (f != null && now - f.heard < times.election() * 2) {
-                near++;
-            }
-        }
-        if (near < majority()) {
+        if (!group().majority(v -> v.equals(self) || replication.heard(v, now - times.election() * 2))) {
             stepDown(term, "no quorum");
             return;
         }
         reads.expire(now);
         configuration.step(now);
         replication.replicate(false);
+        if (leaving && leads() && replication.agreedWithout(self)) {
+            handOver();
+        }
     }
 
     // ---- roles
@@ -229,6 +289,7 @@
 
     void becomeLeader() {
         role = Role.LEADER;
+        beforeHeard = leaderHeard;
         leader = self;
         leaderControl = control;
         leadingSince = clock.now();
@@ -274,18 +335,6 @@
 
     // ---- log
 
-    int majority() {
-        return voters().size() / 2 + 1;
-    }
-
-    /**
-     * How many durable copies make an entry agreed: a majority, and more than may be lost, also while the group is
-     * still too small for the one to imply the other.
-     */
-    int enough() {
-        return Math.max(majority(), Math.min(copies, voters().size()));
-    }
-
     void persist(long truncateFrom, List<Vault.Entry> added, Vault.Snapshot snapshot, Runnable done) {
         vault.save(new Vault.Change(term, vote, commit, truncateFrom, List.copyOf(added), snapshot), done);
     }
@@ -354,12 +403,20 @@
     /** Serves one of the group's messages; false where the kind is another's. */
     public boolean serve(String kind, JsonNode m, Consumer<ObjectNode> answer) {
         switch (kind) {
-            case "vote", "append", "snap" -> {
+            case "vote", "append", "snap", "lead", "leave" -> {
                 if (stopped || !self.equals(m.path("to").asText())) {
                     log.once(Event.MESSAGE_DROPPED, kind + m.path("to").asText(), "kind", kind, "cause", "not for this life");
                     answer.accept(null);
                 } else if (kind.equals("vote")) {
                     election.voteAsked(m, answer);
+                } else if (kind.equals("leave")) {
+                    answer.accept(reply(leads() && configuration.leave(m.path("id").asText())));
+                } else if (kind.equals("lead")) {
+                    if (m.path("term").asLong() == term && role == Role.FOLLOWER && voters().contains(self) && healthy() && !leaving) {
+                        m.path("learners").forEach(l -> configuration.join(l.asText()));
+                        election.take();
+                    }
+                    answer.accept(reply(true));
                 } else {
                     fromLeader(kind, m, answer);
                 }
@@ -367,7 +424,7 @@
             }
             case "join" -> {
                 if (leads()) {
-                    configuration.asked(m.path("id").asText());
+                    configuration.join(m.path("id").asText());
                 }
                 answer.accept(reply(role == Role.LEADER));
                 return true;
@@ -388,6 +445,7 @@
             stepDown(t, "another leads");
         }
         leader = m.path("from").asText();
+        before = leader;
         leaderControl = m.path("control").asText();
         leaderHeard = clock.now();
         election.postpone();
@@ -399,12 +457,17 @@
         }
     }
 
-    /** Asks to be taken in where this helm is no voter. */
+    /**
+     * Asks to be taken in where nobody who leads feeds this member: it is new, or was replaced while it was away and cannot
+     * know that.
+     */
     public void join(Iterable<String> addresses) {
-        if (stopped || voters().contains(self)) {
+        if (stopped || leaving || role == Role.LEADER || leaderNear()) {
             return;
         }
-        log.once(Event.JOINING, self, "member", self);
+        if (!voters().contains(self)) {
+            log.once(Event.JOINING, self, "member", self);
+        }
         for (String a : addresses) {
             if (!a.equals(addressOf(self))) {
                 wire.call(a, "join", JsonNodeFactory.instance.objectNode().put("id", self), times.call(), x -> { });
--- a/src/main/java/bramblespool/raft/RaftLog.java
+++ b/src/main/java/bramblespool/raft/RaftLog.java
@@ -2,6 +2,7 @@
 
 import bramblespool.state.Ledger;
 import bramblespool.state.Vault;
+import bramblespool.state.Voters;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -18,7 +19,7 @@
     private Vault.Snapshot snapshot;
     private final List<Vault.Entry> entries = new ArrayList<>();
     /** What {@link #voters} found; null after entries have changed. */
-    private List<String> newestVoters;
+    private Voters newestVoters;
 
     RaftLog(Vault.Saved saved) {
         snapshot = saved.snapshot() != null ? saved.snapshot() : new Vault.Snapshot(0, 0, List.of(), null);
@@ -30,10 +31,10 @@
     }
 
     /** An entry that makes these the voters. */
-    static ObjectNode members(List<String> voters) {
+    static ObjectNode members(Voters voters) {
         ObjectNode e = Ledger.entry(MEMBERS);
         ArrayNode list = e.putArray("voters");
-        voters.forEach(list::add);
+        voters.written().forEach(list::add);
         return e;
     }
 
@@ -112,9 +113,9 @@
     }
 
     /** The voters as the newest entry that names them says, agreed or not. */
-    List<String> voters() {
+    Voters voters() {
         if (newestVoters == null) {
-            newestVoters = List.copyOf(findVoters());
+            newestVoters = Voters.read(findVoters());
         }
         return newestVoters;
     }
--- a/src/main/java/bramblespool/raft/Reads.java
+++ b/src/main/java/bramblespool/raft/Reads.java
@@ -35,14 +35,7 @@
     boolean settle() {
         List<Read> done = new ArrayList<>();
         for (Read r : waiting) {
-            int n = 1;
-            for (String v : raft.voters()) {
-                Follower f = raft.replication.follower(v);
-                if (f != null && f.ackedSent > r.at) {
-                    n++;
-                }
-            }
-            if (n >= raft.majority()) {
+            if (raft.group().majority(v -> v.equals(raft.self) || raft.replication.acked(v) > r.at)) {
                 done.add(r);
             }
         }
--- a/src/main/java/bramblespool/raft/Replication.java
+++ b/src/main/java/bramblespool/raft/Replication.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +29,24 @@
         return followers.get(id);
     }
 
+    /** The highest index known to be on that member's disk. */
+    private long match(String id) {
+        Follower f = followers.get(id);
+        return f == null ? 0 : f.match;
+    }
+
+    /** When that was sent which the member has answered last. */
+    long acked(String id) {
+        Follower f = followers.get(id);
+        return f == null ? 0 : f.ackedSent;
+    }
+
+    /** Whether the member has answered since then. */
+    boolean heard(String id, long since) {
+        Follower f = followers.get(id);
+        return f != null && f.heard > since;
+    }
+
     void clear() {
         followers.clear();
     }
@@ -50,7 +67,7 @@
         followers.keySet().removeIf(id -> !to.contains(id));
         long now = raft.clock.now();
         for (String id : to) {
-            Follower f = followers.computeIfAbsent(id, i -> new Follower(i, raft.entries.last() + 1, now));
+            Follower f = followers.computeIfAbsent(id, i -> new Follower(i, raft.entries.last() + 1, raft.lastHeard(i, now)));
             if (!f.busy) {
                 if (atOnce || f.next <= raft.entries.last() || now - f.ackedSent >= raft.times.heartbeat()) {
                     send(f);
@@ -127,15 +144,26 @@
         advance();
     }
 
-    private void advance() {
-        List<String> voters = raft.voters();
-        long[] matches = new long[voters.size()];
-        for (int i = 0; i < matches.length; i++) {
-            Follower f = followers.get(voters.get(i));
-            matches[i] = voters.get(i).equals(raft.self) ? durable : f == null ? 0 : f.match;
+    /** Whether all that is agreed lies on as many disks as are wanted without that member's. */
+    boolean agreedWithout(String id) {
+        List<String> others = raft.voters().stream().filter(v -> !v.equals(id)).toList();
+        long there = others.stream().filter(v -> (v.equals(raft.self) ? durable : match(v)) >= raft.commit).count();
+        return there >= Math.min(raft.copies, others.size());
+    }
+
+    /** A voter that has all of this leader's log, or null. */
+    String heir() {
+        for (String v : raft.voters()) {
+            Follower f = followers.get(v);
+            if (f != null && f.match == raft.entries.last() && raft.clock.now() - f.heard < raft.times.election()) {
+                return v;
+            }
         }
-        Arrays.sort(matches);
-        long agreed = matches[matches.length - raft.enough()];
+        return null;
+    }
+
+    private void advance() {
+        long agreed = raft.group().reached(v -> v.equals(raft.self) ? durable : match(v), raft.copies);
         if (agreed > raft.commit && raft.entries.termAt(agreed) == raft.term()) {
             raft.commit = agreed;
             raft.apply();
--- a/src/main/java/bramblespool/raft/Rights.java
+++ b/src/main/java/bramblespool/raft/Rights.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -72,14 +71,7 @@
 
     /** Since when a majority is known to have taken this member for the leader: when what it answered was sent. */
     private long majoritySince() {
-        List<String> voters = raft.voters();
-        long[] sent = new long[voters.size()];
-        for (int i = 0; i < sent.length; i++) {
-            Follower f = raft.replication.follower(voters.get(i));
-            sent[i] = voters.get(i).equals(raft.self) ? raft.clock.now() : f == null ? 0 : f.ackedSent;
-        }
-        Arrays.sort(sent);
-        return sent[sent.length - raft.majority()];
+        return raft.group().reached(v -> v.equals(raft.self) ? raft.clock.now() : raft.replication.acked(v), 0);
     }
 
     /** A leader's message has been taken. */
--- a/src/main/java/bramblespool/role/Helm.java
+++ b/src/main/java/bramblespool/role/Helm.java
@@ -179,7 +179,8 @@
     }
 
     private void finish(long until, Runnable stopped) {
-        if (held == 0 || loop.now() >= until) {
+        if (held == 0 && core.left() || loop.now() >= until) {
+            core.stop();
             ports.close();
             vault.close();
             stopped.run();
--- a/src/main/java/bramblespool/state/Ledger.java
+++ b/src/main/java/bramblespool/state/Ledger.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /** What the helms have agreed on: configurations, the phase of the commit under way, evacuations. */
@@ -27,6 +29,7 @@
     private final Map<String, Evacuation> evacuations = new LinkedHashMap<>();
     private final Map<String, Duty> duties = new LinkedHashMap<>();
 
+    private Voters group = Voters.read(List.of());
     /** The agreed voters, each with the index of the entry since which it has been one without a break. */
     private final Map<String, Long> voters = new LinkedHashMap<>();
     /** The index of the entry that made them the voters. */
@@ -40,6 +43,11 @@
     public record Duty(String holder, long fence, boolean first) {
     }
 
+    /** The agreed voters, or the change under way from some to others. */
+    public Voters group() {
+        return group;
+    }
+
     public Map<String, Long> voters() {
         return voters;
     }
@@ -102,7 +110,8 @@
             case "members" -> {
                 Map<String, Long> before = new LinkedHashMap<>(voters);
                 voters.clear();
-                e.path("voters").forEach(v -> voters.put(v.asText(), before.getOrDefault(v.asText(), index)));
+                group = written(e.path("voters"));
+                group.all().forEach(v -> voters.put(v, before.getOrDefault(v, index)));
                 votersSince = index;
             }
             case "evac" -> evacuations.put(e.path("zone").asText(), new Evacuation(e.path("on").asBoolean(), index));
@@ -126,6 +135,12 @@
         }
     }
 
+    private static Voters written(JsonNode list) {
+        List<String> out = new ArrayList<>();
+        list.forEach(v -> out.add(v.asText()));
+        return Voters.read(out);
+    }
+
     public ObjectNode snapshot() {
         ObjectNode n = JsonNodeFactory.instance.objectNode();
         put(n.putObject("current"), current);
@@ -142,6 +157,7 @@
         ObjectNode v = n.putObject("voters");
         voters.forEach(v::put);
         n.put("votersSince", votersSince);
+        group.written().forEach(n.putArray("group")::add);
         ObjectNode d = n.putObject("duties");
         duties.forEach((key, duty) -> d.putObject(key).put("holder", duty.holder).put("fence", duty.fence).put("first", duty.first));
         return n;
@@ -161,6 +177,7 @@
         voters.clear();
         n.path("voters").fields().forEachRemaining(f -> voters.put(f.getKey(), f.getValue().asLong()));
         votersSince = n.path("votersSince").asLong();
+        group = n.has("group") ? written(n.path("group")) : Voters.read(voters.keySet());
         duties.clear();
         n.path("duties").fields().forEachRemaining(f -> duties.put(f.getKey(),
                 new Duty(f.getValue().path("holder").asText(), f.getValue().path("fence").asLong(),
--- /dev/null
+++ b/src/test/java/bramblespool/MajorityTest.java
@@ -0,0 +1,190 @@
+package bramblespool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import bramblespool.coordination.HelmCore;
+import bramblespool.protocol.Orders;
+import bramblespool.raft.Raft;
+import bramblespool.sim.SimMesh;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What a helm may say, and what the group bears, while helms are cut off, lost, replaced and leave. */
+class MajorityTest {
+    private static final int SEEDS = 10;
+
+    private static Orders.Outcome order(SimMesh mesh, long epoch, long base) {
+        Orders.Outcome[] got = new Orders.Outcome[1];
+        for (int i = 0; i < 60 && (got[0] == null || got[0].status() == 503); i++) {
+            got[0] = null;
+            mesh.order(SimMesh.change(epoch, base, "v" + epoch), o -> got[0] = o);
+            mesh.world.run(100);
+        }
+        return got[0];
+    }
+
+    private static SimMesh mesh(long seed, int helms, int losses) {
+        SimMesh mesh = new SimMesh(seed, helms, 2, losses, null);
+        mesh.world.run(4000);
+        assertEquals(200, order(mesh, 5, 0).status());
+        mesh.world.run(1000);
+        return mesh;
+    }
+
+    private static String leader(SimMesh mesh) {
+        return Raft.addressOf(mesh.leader().raft.self());
+    }
+
+    /**
+     * The old leader has not noticed yet that it is cut off, and another one has acknowledged a version. What the old one is
+     * asked then it does not know, and may neither refuse nor confirm.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aLeaderThatIsCutOffSaysNothingOfWhatIsDecided(boolean oneWay) {
+        int asked = 0;
+        for (long seed = 1; seed <= 4 * SEEDS; seed++) {
+            SimMesh mesh = mesh(seed, 3, 1);
+            String old = leader(mesh);
+            HelmCore cutOff = mesh.helms.get(old);
+            mesh.world.run(mesh.world.random.nextInt(300));
+            for (String h : mesh.helms.keySet()) {
+                mesh.world.cut(old, h, !h.equals(old));
+                mesh.world.cut(h, old, !h.equals(old) && !oneWay);
+            }
+            Orders.Outcome[] taken = new Orders.Outcome[1];
+            for (int i = 0; i < 400 && (taken[0] == null || taken[0].status() != 200); i++) {
+                for (HelmCore h : mesh.helms.values()) {
+                    if (h != cutOff && h.raft.leads()) {
+                        h.change(SimMesh.change(6, 5, "v6"), o -> taken[0] = o);
+                    }
+                }
+                mesh.world.run(10);
+            }
+            assertEquals(200, taken[0].status(), "the others go on, seed " + seed);
+            List<Integer> said = new ArrayList<>();
+            if (cutOff.raft.leads()) {
+                asked++;
+            }
+            cutOff.change(SimMesh.change(7, 6, "v7"), o -> said.add(o.status()));
+            cutOff.change(SimMesh.change(8, 5, "v8"), o -> said.add(o.status()));
+            cutOff.change(SimMesh.change(5, 0, "v5"), o -> said.add(o.status()));
+            cutOff.read(v -> said.add(v == null ? 503 : 200));
+            cutOff.evacuate("a", false, ok -> said.add(ok ? 200 : 503));
+            mesh.world.run(4000);
+            assertEquals(List.of(503, 503, 503, 503, 503), said, "seed " + seed);
+            mesh.world.isolate(old, false);
+            mesh.world.run(3000);
+            assertEquals(6, mesh.leader().ledger().current().epoch());
+        }
+        assertTrue(oneWay || asked > SEEDS, "it still took itself for the leader in " + asked);
+    }
+
+    /** Nobody is sent to a helm that was the leader a while ago, nor to oneself. */
+    @Test
+    void theKnownLeaderLapses() {
+        SimMesh mesh = mesh(3, 3, 1);
+        String old = leader(mesh);
+        HelmCore other = mesh.helms.values().stream().filter(h -> !h.raft.leads()).findFirst().orElseThrow();
+        assertNotNull(other.raft.leaderControl());
+        mesh.helms.keySet().stream().filter(h -> mesh.helms.get(h) != other).toList().forEach(h -> mesh.killHelm(h, true));
+        mesh.world.run(2000);
+        assertEquals(null, other.raft.leaderControl(), old + " is no longer known to lead");
+    }
+
+    /** Four helms, three voters: one is lost for good and another one after so long; what is there then agrees on things. */
+    @ParameterizedTest
+    @CsvSource({"2000, false", "3000, true", "4000, false", "4000, true", "6000, false", "8000, false"})
+    void aSpareTakesTheLostPlaceBeforeTheNextLoss(long later, boolean leaderFirst) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SimMesh mesh = mesh(seed, 4, 1);
+            String first = mesh.leader().raft.voters().stream().map(Raft::addressOf)
+                    .filter(v -> v.equals(leader(mesh)) == leaderFirst).findFirst().orElseThrow();
+            mesh.killHelm(first, true);
+            mesh.world.run(later);
+            mesh.killHelm(leader(mesh), true);
+            mesh.world.run(4000);
+            assertNotNull(mesh.leader(), "a majority is left, seed " + seed);
+            assertEquals(200, order(mesh, 6, 5).status(), "seed " + seed);
+        }
+    }
+
+    /** Disks lost in turn, each the time {@code catchUp} after the last one's successor has started. */
+    @ParameterizedTest
+    @CsvSource({"3, 1", "4, 1", "5, 1", "5, 2", "6, 2"})
+    void disksMayBeLostInTurn(int helms, int losses) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SimMesh mesh = mesh(seed, helms, losses);
+            for (int turn = 0; turn < 4; turn++) {
+                List<String> lost = new ArrayList<>(mesh.leader().raft.voters().stream().map(Raft::addressOf).toList());
+                java.util.Collections.shuffle(lost, mesh.world.random);
+                lost.subList(losses, lost.size()).clear();
+                for (String h : lost) {
+                    mesh.killHelm(h, true);
+                    mesh.world.machine(h).disk.wipe();
+                }
+                mesh.world.run(300 + mesh.world.random.nextInt(700));
+                lost.forEach(h -> mesh.startHelm(h, false));
+                mesh.world.run(4000);
+                assertNotNull(mesh.leader(), "seed " + seed + " turn " + turn);
+                assertEquals(200, order(mesh, 6 + turn, 5 + turn).status(), "seed " + seed + " turn " + turn);
+            }
+        }
+    }
+
+    /** It was replaced while it was away, and cannot know that from what lies on its disk. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void whoWasReplacedWhileItWasAwayFollowsAgain(long seed) {
+        SimMesh mesh = mesh(seed, 4, 1);
+        String away = mesh.leader().raft.voters().stream().map(Raft::addressOf).filter(v -> !v.equals(leader(mesh))).findFirst()
+                .orElseThrow();
+        mesh.world.isolate(away, true);
+        mesh.world.run(20_000);
+        assertEquals(200, order(mesh, 6, 5).status());
+        assertFalse(mesh.leader().raft.voters().stream().map(Raft::addressOf).toList().contains(away), "its place is taken");
+        mesh.world.isolate(away, false);
+        mesh.world.run(3000);
+        assertEquals(6, mesh.helms.get(away).ledger().current().epoch());
+        assertEquals(200, order(mesh, 7, 6).status());
+        mesh.world.run(500);
+        assertEquals(7, mesh.helms.get(away).ledger().current().epoch());
+    }
+
+    /** SIGTERM: the lead goes to another one at once, and the leaver's place to a spare one where there is one. */
+    @ParameterizedTest
+    @CsvSource({"3, true", "3, false", "4, true", "4, false"})
+    void whoLeavesHandsOverFirst(int helms, boolean leads) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SimMesh mesh = mesh(seed, helms, 1);
+            String leaver = mesh.leader().raft.voters().stream().map(Raft::addressOf).filter(v -> v.equals(leader(mesh)) == leads)
+                    .findFirst().orElseThrow();
+            HelmCore h = mesh.helms.get(leaver);
+            long term = mesh.leader().raft.term();
+            h.leave();
+            for (int i = 0; i < 200 && !h.left(); i++) {
+                mesh.world.run(10);
+            }
+            assertTrue(h.left(), "it may go, seed " + seed);
+            assertEquals(leads ? term + 1 : term, mesh.leader().raft.term(), "one election at most");
+            mesh.killHelm(leaver, true);
+            mesh.world.machine(leaver).disk.wipe();
+            assertEquals(200, order(mesh, 6, 5).status(), "no pause, seed " + seed);
+            if (helms == 4) {
+                assertFalse(mesh.leader().raft.voters().stream().map(Raft::addressOf).toList().contains(leaver), "seed " + seed);
+                // The group bears the next loss at once.
+                mesh.killHelm(leader(mesh), true);
+                mesh.world.run(3000);
+                assertNotNull(mesh.leader(), "seed " + seed);
+                assertEquals(200, order(mesh, 7, 6).status(), "seed " + seed);
+            }
+        }
+    }
+}
