What is not quite JSON is no configuration: nothing is mended while reading

Cause: the reader was lenient. Of nine forms that are no JSON (a value left out, keys without quotes, = for :, comments, ; for a comma, a comma too many, NaN) eight were taken as valid, and a value left out was read as null: an invalid configuration would have been acknowledged. Bytes that are no UTF-8 were replaced, so that what is read back was not what was sent. Change: Config reads strictly, to the end, and from bytes that must be UTF-8; beats and the platform's pages with it. Measured: FormsTest, nine new cases failed before, all pass.

--- a/src/main/java/bramblespool/protocol/Beat.java
+++ b/src/main/java/bramblespool/protocol/Beat.java
@@ -2,7 +2,6 @@
 
 import bramblespool.state.Config;
 import bramblespool.state.Fields;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -32,7 +31,7 @@
 
     public static Beat read(String id, byte[] body) throws Config.Invalid {
         List<String> faults = new ArrayList<>();
-        Fields f = new Fields(Config.tree(new String(body, StandardCharsets.UTF_8)), "", faults);
+        Fields f = new Fields(Config.tree(body), "", faults);
         String state = f.state("state");
         Beat b = new Beat(id, f.text("target"), f.address("address", null), f.text("zone", ""),
                 (int) f.whole("capacity", null), "draining".equals(state), f.time("warmupLeft", "0ms"),
--- a/src/main/java/bramblespool/protocol/Listing.java
+++ b/src/main/java/bramblespool/protocol/Listing.java
@@ -7,7 +7,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -33,7 +32,7 @@
 
     /** Checks a page whole: nothing is taken from one with a fault. */
     public static Listing read(byte[] body) throws Config.Invalid {
-        JsonObject tree = Config.tree(new String(body, StandardCharsets.UTF_8));
+        JsonObject tree = Config.tree(body);
         List<String> faults = new ArrayList<>();
         List<Entry> out = new ArrayList<>();
         Set<String> ids = new HashSet<>();
--- a/src/main/java/bramblespool/protocol/Orders.java
+++ b/src/main/java/bramblespool/protocol/Orders.java
@@ -3,7 +3,6 @@
 import bramblespool.state.Config;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonPrimitive;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
@@ -51,7 +50,7 @@
     }
 
     public static Change change(boolean amends, byte[] body) throws Config.Invalid {
-        JsonObject tree = Config.tree(new String(body, StandardCharsets.UTF_8));
+        JsonObject tree = Config.tree(body);
         if (!tree.has("epoch") || !whole(tree, "epoch")) {
             throw new Config.Invalid(List.of("epoch: must be a whole number"));
         }
--- a/src/main/java/bramblespool/state/Config.java
+++ b/src/main/java/bramblespool/state/Config.java
@@ -6,6 +6,14 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import com.google.gson.Strictness;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -176,17 +184,31 @@
         return host.toLowerCase(java.util.Locale.ROOT);
     }
 
-    /** Parses a whole document; the tree must be an object. */
-    public static JsonObject tree(String document) throws Invalid {
+    /** Parses a whole document as it came; it must be UTF-8. */
+    public static JsonObject tree(byte[] document) throws Invalid {
         try {
-            JsonElement e = JsonParser.parseString(document);
-            if (e.isJsonObject()) {
-                return e.getAsJsonObject();
+            return tree(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(document)).toString());
+        } catch (CharacterCodingException e) {
+            throw new Invalid(List.of("cannot be read whole as UTF-8"));
+        }
+    }
+
+    /** Parses a whole document; the tree must be an object. Nothing is mended: what is not quite JSON is no JSON. */
+    public static JsonObject tree(String document) throws Invalid {
+        JsonElement tree;
+        try (JsonReader reader = new JsonReader(new StringReader(document))) {
+            reader.setStrictness(Strictness.STRICT);
+            tree = JsonParser.parseReader(reader);
+            if (reader.peek() != JsonToken.END_DOCUMENT) {
+                throw new Invalid(List.of("holds more than one JSON value"));
             }
-        } catch (JsonParseException | StackOverflowError e) {
+        } catch (JsonParseException | IOException | StackOverflowError e) {
             throw new Invalid(List.of("cannot be read whole as JSON"));
         }
-        throw new Invalid(List.of("is not a JSON object"));
+        if (!tree.isJsonObject()) {
+            throw new Invalid(List.of("is not a JSON object"));
+        }
+        return tree.getAsJsonObject();
     }
 
     public static Config compile(String document) throws Invalid {
--- a/src/test/java/bramblespool/FormsTest.java
+++ b/src/test/java/bramblespool/FormsTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import bramblespool.protocol.Orders;
 import bramblespool.sim.SimMesh;
 import bramblespool.state.Config;
 import bramblespool.state.Log;
@@ -17,6 +18,7 @@
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.library.Architectures;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -63,6 +65,34 @@
         }
     }
 
+    /** What a lenient reader would mend by itself cannot be read whole, and what it would make of it was never sent. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "null,2|,2",
+        "\"epoch\":5|epoch:5",
+        "\"epoch\":5|\"epoch\"=5",
+        "\"epoch\":5|\"epoch\":0005",
+        "\"epoch\":5|/* 5 */ \"epoch\":5",
+        "\"epoch\":5,|\"epoch\":5;",
+        "\"/health\"|'/health'",
+        "\"desk\"]]|\"desk\"],]",
+        "13.0|NaN"})
+    void whatIsNotQuiteJsonIsInvalid(String from, String to) {
+        assertTrue(GOOD.contains(from));
+        assertThrows(Config.Invalid.class, () -> Config.compile(GOOD.replace(from, to)));
+        assertThrows(Config.Invalid.class,
+                () -> Orders.change(false, GOOD.replace(from, to).getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Test
+    void aDocumentWithMoreBehindItOrWithBytesThatAreNoTextIsInvalid() throws Config.Invalid {
+        assertThrows(Config.Invalid.class, () -> Config.compile(GOOD + "{}"));
+        byte[] bytes = GOOD.getBytes(StandardCharsets.UTF_8);
+        assertEquals(5, Orders.change(false, bytes).tree().get("epoch").getAsLong());
+        bytes[GOOD.indexOf("x.example")] = (byte) 0xff;
+        assertThrows(Config.Invalid.class, () -> Orders.change(false, bytes));
+    }
+
     @Test
     void twoRoutesInOnePlaceAreInvalid() {
         String row = "[\"r\",\"x.example\",\"/p/\",\"idempotent\",\"1500ms\",\"600ms\",1,null,2,\"desk\"]";
