A late beat of a last life no longer locks out the server that goes on beating

Cause: a life followed by another was ended for good. After a restart of the weft the order of lives is not known: a late beat of the last life ended the present one, whose beats were then acknowledged and dropped for ever. Change: a life that was merely followed comes back when the other does not answer and it itself goes on with a higher callSeq. One that has left, or said that it is draining, never does. What it was sent in this second still counts.

--- a/src/main/java/bramblespool/coordination/Gate.java
+++ b/src/main/java/bramblespool/coordination/Gate.java
@@ -8,8 +8,10 @@
 import it.unimi.dsi.fastutil.longs.LongArrayFIFOQueue;
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -148,7 +150,10 @@
     private long lastBeat;
     private long lastSeq = -1;
     private int running;
+    /** Lives that will never be heard of again: they have left, or said that they are about to. */
     private final Set<String> ended = new HashSet<>();
+    /** Lives that another one has followed, each with its last {@code callSeq}. */
+    private final Map<String, Long> followed = new HashMap<>();
     private final List<Ticket> queue = new ArrayList<>();
     private final LongArrayFIFOQueue arrivals = new LongArrayFIFOQueue();
     private final Object2DoubleOpenHashMap<String> work = new Object2DoubleOpenHashMap<>();
@@ -183,20 +188,24 @@
         if (!b.address().equals(address)) {
             return "address: this machine's server is at " + address;
         }
-        if (ended.contains(b.id()) || b.id().equals(id) && b.callSeq() <= lastSeq) {
+        if (ended.contains(b.id()) || b.id().equals(id) && b.callSeq() <= lastSeq || late(b)) {
             return null;
         }
         boolean fresh = !b.id().equals(id);
         if (fresh) {
-            if (id != null) {
+            if (draining) {
                 ended.add(id);
+            } else if (id != null) {
+                followed.put(id, lastSeq);
             }
             id = b.id();
             running = 0;
             ill = 0;
             pace.forget();
             draining = false;
-            arrivals.clear();
+            if (followed.remove(id) == null) {
+                arrivals.clear();
+            }
             log.say(Event.SERVER_NEW, "server", id, "capacity", b.capacity(), "cold", b.warmupLeft());
         } else if (down) {
             log.say(Event.SERVER_BACK, "server", id);
@@ -223,6 +232,23 @@
         return null;
     }
 
+    /**
+     * Whether it is a late word of a life that another one has followed. After a restart of this process the order of
+     * lives is not known, and it may be the other one that was late: that one does not answer, and this one goes on.
+     */
+    private boolean late(Beat b) {
+        Long last = followed.get(b.id());
+        if (last == null) {
+            return false;
+        }
+        if (b.draining()) {
+            followed.remove(b.id());
+            ended.add(b.id());
+            return true;
+        }
+        return !down || b.callSeq() <= last;
+    }
+
     /** Takes the word of the platform's list, which knows this server by the id the gate was made for. */
     public void listed(String which, int slots, boolean drains, long warmupLeft) {
         boolean fresh = id == null;
@@ -269,6 +295,7 @@
     }
 
     public void leave(String which) {
+        followed.remove(which);
         ended.add(which);
         if (which.equals(id)) {
             gone(Event.SERVER_GONE);
--- a/src/test/java/bramblespool/GateTest.java
+++ b/src/test/java/bramblespool/GateTest.java
@@ -180,6 +180,39 @@
         assertNotNull(gate.beat(new Beat("i3", "desk", "10.9.9.9:9000", "a", 6, false, 0, 99)));
     }
 
+    /** Where this process does not remember the lives before, a late beat of an old one looks new; the server's own word counts. */
+    @Test
+    void aServerThatGoesOnBeatingComesBackAfterALateBeatOfItsLastLife() {
+        beat("i2", false, 0);
+        beat("i1", false, 0);
+        assertEquals("i1", gate.id());
+        assertNull(gate.beat(new Beat("i2", "desk", "10.0.1.1:9000", "a", 6, false, 0, 1)));
+        gate.unreachable("i1");
+        assertNull(gate.beat(new Beat("i2", "desk", "10.0.1.1:9000", "a", 6, false, 0, 1)));
+        assertFalse(gate.open(), "nor does a late beat of the other bring that one back");
+        beat("i2", false, 0);
+        assertEquals("i2", gate.id());
+        assertTrue(gate.open());
+    }
+
+    @Test
+    void aLastLifeThatSaidItIsDrainingOrHasLeftIsNeverTakenBack() {
+        beat("i0", false, 0);
+        beat("i0", true, 0);
+        beat("i1", false, 0);
+        beat("i2", false, 0);
+        beat("i3", false, 0);
+        beat("i1", true, 0);
+        gate.leave("i2");
+        gate.unreachable("i3");
+        beat("i0", false, 0);
+        beat("i1", false, 0);
+        beat("i2", false, 0);
+        assertFalse(gate.open());
+        beat("i3", false, 0);
+        assertEquals("i3", gate.id());
+    }
+
     @Test
     void higherRankGoesFirstAndWithinARankFirstCome() {
         beat("i1", false, 0);
