Clients' connections rest for as long as the version in force allows, whenever they came

Cause: idle and bodyBytes were fixed when a connection came. A configuration that raised idle left the connections there were on the old bound: they were closed while their clients still counted on them; what came before the first configuration stood under a default. A body that only the new limit allowed was cut off and answered 200 without a server. Change: a table of the connections at rest, swept against the bound of now; one that falls holds for rests to come. Undertow's own timer only closes those that never bring a request. bodyBytes is set for each request. At the end of a process the resting connections are closed before it stops, so that no request is read and left. Measured: LimitsTest (sockets), both cases seen to fail before, and RestingTest pass.

--- a/src/main/java/bramblespool/role/Side.java
+++ b/src/main/java/bramblespool/role/Side.java
@@ -11,6 +11,7 @@
 import bramblespool.transport.Ports;
 import bramblespool.transport.Upstream;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.Methods;
 import java.io.IOException;
@@ -22,6 +23,8 @@
     /** Between daemons connections are kept so long that traffic comes back to most of them. */
     private static final int PEER_IDLE_MS = 60_000;
     private static final long CLIENT_HEADER = 1 << 20;
+    /** A connection that never brings a request is closed after so many times what one may rest between two. */
+    private static final int SILENT = 8;
 
     final Loop loop;
     final Log log;
@@ -31,6 +34,7 @@
     final Upstream upstream;
     private final Outbound outbound;
     private final HttpOpenListener clients;
+    private final Resting<ServerConnection> resting;
     private Config.Limits limits = Config.Limits.UNSET;
     private boolean said;
 
@@ -64,13 +68,15 @@
         ports.listen(s.peer(), wire, peerBounds());
         ports.listen(s.inbound(), inbound, Ports.bounds(CLIENT_HEADER, -1, PEER_IDLE_MS, PEER_IDLE_MS));
         ports.listen(s.ready(), this::readiness, peerBounds());
-        clients = ports.listen(s.outbound(), outbound, clientBounds());
+        resting = new Resting<>(loop, limits.idle());
+        clients = ports.listen(s.outbound(), this::client, clientBounds());
     }
 
     /** To be called once all listening is done. */
     final void begin() {
         core.start();
         loop.every(settings.bounds().quiet() / 30, this::watch);
+        loop.every(settings.bounds().quiet() / 10, resting::sweep);
     }
 
     static OptionMap peerBounds() {
@@ -78,15 +84,33 @@
     }
 
     private OptionMap clientBounds() {
-        return Ports.bounds(limits.headerBytes(), limits.bodyBytes(), (int) limits.headerRead(), (int) limits.idle());
+        return Ports.bounds(limits.headerBytes(), limits.bodyBytes(), (int) limits.headerRead(),
+                (int) Math.min(Integer.MAX_VALUE, limits.idle() * SILENT));
     }
 
-    /** Puts the operator's limits on connections that come from now on. */
+    /** A request of a client's: the limits on its body and on the rest after it are those of now, whenever the connection came. */
+    private void client(HttpServerExchange x) throws Exception {
+        Config config = core.shadow.real();
+        if (config != null) {
+            x.setMaxEntitySize(config.limits.bodyBytes());
+            resting.bound(config.limits.idle());
+        }
+        ServerConnection c = x.getConnection();
+        resting.begins(c);
+        x.addExchangeCompleteListener((done, next) -> {
+            resting.ends(c);
+            next.proceed();
+        });
+        outbound.handleRequest(x);
+    }
+
+    /** Takes over the operator's limits; those on heads hold on connections that come from now on. */
     private void watch() {
         Config c = core.shadow.real();
         if (c != null && !c.limits.equals(limits)) {
             limits = c.limits;
             clients.setUndertowOptions(clientBounds());
+            resting.bound(limits.idle());
         }
         if (c != null) {
             configured(c);
@@ -130,6 +154,8 @@
 
     private void finish(long until, Runnable stopped) {
         if (outbound.held() == 0 && core.gates.load() == 0 || loop.now() >= until) {
+            // Nothing more is read from them, so that nothing is read and left without an answer.
+            resting.close();
             stopped.run();
         } else {
             loop.after(10, () -> finish(until, stopped));
