A helm's store is founded whole, checked at the start, and set aside when it is lost

Cause: a database that was torn, foreign or half there ended the start with an exception, again and again; so did a disk that was full or not there at that moment. A page found damaged later was tried again for ever by a voter that no longer had a store. What a killed process had written without its sync was read, told to others, and could still be lost with the power.

A helm whose store breaks while it runs moves it aside, ends, and starts as a new member.

--- a/src/main/java/bramblespool/role/Helm.java
+++ b/src/main/java/bramblespool/role/Helm.java
@@ -23,7 +23,6 @@
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.security.SecureRandom;
-import java.sql.SQLException;
 import java.util.Locale;
 
 /** The control plane's process. */
@@ -40,14 +39,14 @@
     private final java.util.Set<String> zones;
     private int held;
 
-    public Helm(Settings s, Loop loop, Log log) throws IOException, SQLException {
+    public Helm(Settings s, Loop loop, Log log) throws IOException {
         this.loop = loop;
         this.retryMs = s.bounds().quiet() / 15;
         this.zones = s.zones().keySet();
         ports = new Ports(loop, log);
         Upstream upstream = new Upstream(loop, ports.buffers());
         HttpWire wire = new HttpWire(loop, upstream, ports.buffers(), IDLE_MS / 2, log);
-        vault = new SqliteVault(s.dataDir(), loop::post, loop::now, log);
+        vault = new SqliteVault(s.dataDir(), loop::post, loop::now, log, Helm::end);
         HttpPlatform platform = s.discovery() == Settings.Discovery.PLATFORM || s.metering() != null
                 ? new HttpPlatform(loop, upstream, s.platform(), s.bounds().drain() / 8) : null;
         core = new HelmCore(s, vault, Long.toHexString(new SecureRandom().nextLong()), loop, wire, platform, log);
@@ -59,6 +58,12 @@
         log.say(Event.READY, "member", core.quorum.self());
     }
 
+    /** With a damaged store this helm is of no use until it starts anew, as a new member. */
+    private static void end() {
+        // In a thread of its own: ending waits for the loop to hand over.
+        new Thread(null, () -> System.exit(1), "end", 256 << 10).start();
+    }
+
     private void control(HttpServerExchange x) {
         String path = x.getRequestURI();
         boolean get = x.getRequestMethod().equals(Methods.GET);
--- a/src/main/java/bramblespool/state/Vault.java
+++ b/src/main/java/bramblespool/state/Vault.java
@@ -26,9 +26,17 @@
     record Kept(String id, String promised, String accepted, String value) {
     }
 
-    /** What the disk holds, or null where it is empty. */
+    /** What the disk held when it was opened or founded, null where it is empty; to be asked before the first change. */
     Saved load();
 
+    /**
+     * Whether this disk has held a store that was lost and set aside. It is empty then, but was not always: whoever
+     * founds it anew may have voted before.
+     */
+    default boolean setAside() {
+        return false;
+    }
+
     /** Founds an empty disk, with the entries a founding member starts from. */
     void found(String incarnation, List<Entry> first);
 
@@ -38,7 +46,7 @@
     /** Keeps words on registers, each in place of the last one of that id; one write with all that waits. */
     void keep(List<Kept> words, Runnable durable);
 
-    /** All words kept and not yet faded, the newest of each id last. */
+    /** All words kept and not yet faded when it was opened, the newest of each id last; asked for as {@link #load}. */
     List<Kept> kept();
 
     /** To be called once in each part of a register's life: words older than {@code parts} calls are removed. */
