A founder whose store was lost and set aside does not found again

Cause: bootstrap may still stand in the settings of a helm that starts again; with its store set aside it took itself for a founder on an empty disk, with the founder's incarnation: a second vote in terms it had voted in.

Change: Vault.setAside() says that the disk had been used; HelmCore founds only where it had not.

Measured: aFounderThatLostItsStoreDoesNotFoundAgain failed without the change (the member was the founder's, 10.0.0.1:7000#0), and holds with it.

--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -117,10 +117,10 @@
         });
         news.author(Fleet.HELM + settings.node(), this::tellSelf);
         news.listen(this::heard);
-        this.fresh = vault.load() == null && settings.bootstrap();
+        this.fresh = vault.load() == null && settings.bootstrap() && !vault.setAside();
         if (vault.load() == null) {
             List<String> founders = settings.seeds().stream().map(settings::peerOf).toList();
-            boolean founds = settings.bootstrap() && founders.contains(settings.peer());
+            boolean founds = fresh && founders.contains(settings.peer());
             vault.found(founds ? Quorum.FOUNDER : incarnation,
                     founds ? List.of(Quorum.founding(founders)) : List.of());
         }
--- a/src/test/java/bramblespool/state/VaultTest.java
+++ b/src/test/java/bramblespool/state/VaultTest.java
@@ -6,6 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import bramblespool.coordination.HelmCore;
+import bramblespool.coordination.Quorum;
+import bramblespool.sim.SimMesh;
+import bramblespool.sim.SimWorld;
 import bramblespool.state.Vault.Change;
 import bramblespool.state.Vault.Entry;
 import bramblespool.state.Vault.Kept;
@@ -601,6 +605,38 @@
         v.close();
     }
 
+    @Test
+    void aFounderThatLostItsStoreDoesNotFoundAgain() throws Exception {
+        Settings settings = Settings.parse("""
+                node = "helm-1"
+                machineClass = "core"
+                ip = "10.0.0.1"
+                zone = "a"
+                portRange = [7000, 7010]
+                seedPeers = ["10.0.0.1:8000", "10.0.0.2:8000", "10.0.0.3:8000"]
+                bootstrap = true
+                dataDir = "/none"
+                target = "desk"
+                [zones]
+                a = "r"
+                [listeners]
+                control = "10.0.0.1:8000"
+                [limits]
+                memoryMb = 0
+                """ + SimMesh.BOUNDS, "test");
+        SimWorld.Machine m = new SimWorld(1).machine(settings.peer());
+        for (String wanted : List.of(Quorum.FOUNDER, Quorum.FOUNDER, "fresh")) {
+            SqliteVault v = vault(new Folder(dir), log);
+            HelmCore core = new HelmCore(settings, v, "fresh", m, m, null, Log.silent());
+            assertTrue(core.quorum.self().endsWith("#" + wanted), core.quorum.self());
+            v.close();
+            if (said.toString().contains("again")) {
+                Loss.HEAD_GONE.damage.to(dir.resolve(DB));
+            }
+            said.writeBytes("again".getBytes());
+        }
+    }
+
     // ---- disks that do not work for a while
 
     @ParameterizedTest
