The store's free pages are checked at the start too

Cause: reading every row finds damage of the tables, not of the list of free pages, which a later write meets.

Change: PRAGMA quick_check before the rows are read; a store that fails it is set aside.

FREE_PAGES_AMISS is the test for it.

--- a/src/main/java/bramblespool/state/SqliteStore.java
+++ b/src/main/java/bramblespool/state/SqliteStore.java
@@ -179,6 +179,9 @@
             if (!tables.equals(TABLES.keySet())) {
                 throw new Lost("tables are missing");
             }
+            try (ResultSet r = s.executeQuery("PRAGMA quick_check(1)")) {
+                expect(r.next() && r.getString(1).equals("ok"), r.getString(1));
+            }
             durable(s);
             if (unmarked) {
                 take(s);
--- a/src/test/java/bramblespool/state/VaultTest.java
+++ b/src/test/java/bramblespool/state/VaultTest.java
@@ -484,6 +484,7 @@
         HEAD_GONE(bytes(b -> Arrays.fill(b, 0, SECTOR, (byte) 0))),
         PAGES_GONE(bytes(b -> Arrays.fill(b, 4096, b.length, (byte) 0))),
         A_SECTOR_GONE(bytes(b -> Arrays.fill(b, b.length - SECTOR, b.length, (byte) 0))),
+        FREE_PAGES_AMISS(bytes(b -> b[39] = 50)),
         CUT_SHORT(db -> Files.write(db, Arrays.copyOf(Files.readAllBytes(db), 3 * 4096))),
         CUT_WITHIN_A_PAGE(db -> Files.write(db, Arrays.copyOf(Files.readAllBytes(db), 4096 + 100))),
         NOTHING_BUT_A_LOG(db -> Files.move(db, db.resolveSibling(WAL))),
