--- a/src/test/java/bramblespool/state/VaultTest.java
+++ b/src/test/java/bramblespool/state/VaultTest.java
@@ -7,7 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import bramblespool.coordination.HelmCore;
-import bramblespool.coordination.Quorum;
+import bramblespool.raft.Raft;
 import bramblespool.sim.SimMesh;
 import bramblespool.sim.SimWorld;
 import bramblespool.state.Vault.Change;
@@ -637,10 +637,10 @@
                 memoryMb = 0
                 """ + SimMesh.BOUNDS, "test");
         SimWorld.Machine m = new SimWorld(1).machine(settings.peer());
-        for (String wanted : List.of(Quorum.FOUNDER, Quorum.FOUNDER, "fresh")) {
+        for (String wanted : List.of(Raft.FOUNDER, Raft.FOUNDER, "fresh")) {
             SqliteVault v = vault(new Folder(dir), log);
             HelmCore core = new HelmCore(settings, v, "fresh", m, m, null, Log.silent());
-            assertTrue(core.quorum.self().endsWith("#" + wanted), core.quorum.self());
+            assertTrue(core.raft.self().endsWith("#" + wanted), core.raft.self());
             v.close();
             if (said.toString().contains("again")) {
                 Loss.HEAD_GONE.damage.to(dir.resolve(DB));
