--- a/src/main/java/bramblespool/coordination/Commit.java
+++ b/src/main/java/bramblespool/coordination/Commit.java
@@ -177,6 +177,18 @@
         });
     }
 
+    /** What waits and can't come to anything more hears so now, not after the phases that are left. */
+    private void settleQueue() {
+        queue.removeIf(o -> {
+            boolean taken = ledger.taken(o.change.digest());
+            boolean stale = o.change.base() != ledger.current().epoch();
+            if (taken || stale) {
+                answer(o, taken ? Orders.Outcome.taken(ledger.current().epoch()) : Orders.Outcome.stale(ledger.current().epoch()));
+            }
+            return taken || stale;
+        });
+    }
+
     private Config currentConfig() throws Config.Invalid {
         Ledger.Version v = ledger.current();
         if (v.packed() == null) {
@@ -249,6 +261,7 @@
             }
             log.say(Event.COMMIT_DECIDED, "epoch", config.epoch);
             o.done.accept(Orders.Outcome.taken(config.epoch));
+            settleQueue();
             if (mine == lead) {
                 tagPacket(config.epoch, confirmed);
             }
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -593,7 +593,8 @@
 
     public void evacuate(String zone, boolean on, Consumer<Boolean> done) {
         Ledger.Evacuation e = ledger.evacuations().get(zone);
-        if (raft.leads() && (e == null ? !on : e.on() == on)) {
+        // What is proposed and not agreed yet may be the opposite.
+        if (raft.leads() && !raft.pending() && (e == null ? !on : e.on() == on)) {
             raft.confirm(done);
             return;
         }
--- a/src/main/java/bramblespool/raft/Election.java
+++ b/src/main/java/bramblespool/raft/Election.java
@@ -44,7 +44,8 @@
         if (!pre) {
             raft.candidate();
             raft.log.say(Event.ELECTION, "term", raft.term());
-            postpone();
+            // Where the votes are split each tries again after a time of its own, longer than an answer takes.
+            at = raft.clock.now() + raft.times.call() + soon();
         } else {
             at = raft.clock.now() + raft.times.heartbeat() + soon();
         }
--- a/src/main/java/bramblespool/raft/Raft.java
+++ b/src/main/java/bramblespool/raft/Raft.java
@@ -172,6 +172,11 @@
         return applied;
     }
 
+    /** Whether this member holds entries that are not agreed yet, as far as it knows. */
+    public boolean pending() {
+        return entries.last() > applied;
+    }
+
     public String leaderId() {
         return role == Role.LEADER ? self : leader;
     }
