The platform's list is read on while nobody leads: a leaving is told without the duty

Cause: the bound on leaving servers runs while the core is not settled and binds each machine as soon as it is in touch, quiet after the last trouble. Change: a helm that hears of no leader reads the lists for which it is among the first in line (as many as losses are borne, and one), for little over quiet, and tells the stewards which servers are leaving. That needs no fence, for it is never taken back; nothing is assigned.

--- a/src/main/java/bramblespool/coordination/Gate.java
+++ b/src/main/java/bramblespool/coordination/Gate.java
@@ -269,6 +269,17 @@
         }
     }
 
+    /** The list shows that it is about to end; whoever says so, it is never taken back. */
+    void leaving() {
+        if (!draining) {
+            draining = true;
+            drainingSince = clock.now();
+            log.say(Event.SERVER_DRAINING, "server", id);
+            changed.run();
+            refuseAll();
+        }
+    }
+
     /** No longer this daemon's: nothing more goes there, and what waits is refused. */
     public void close() {
         if (id != null) {
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -295,10 +295,17 @@
         rosters.forEach((zone, r) -> {
             Ledger.Duty d = ledger.duties().get(LIST + zone);
             r.hold(inTouch && !gone && d != null && d.holder().equals(settings.peer()), d == null ? 0 : d.fence());
+            r.leaderless(!inTouch && !gone && inLine(LIST + zone));
             r.check();
         });
     }
 
+    /** Whether this helm is among the first in line for a key: so many that one of them is left after the losses to be borne. */
+    private boolean inLine(String key) {
+        long mine = Rendezvous.weight(key, settings.peer());
+        return helms().stream().filter(h -> Rendezvous.weight(key, h) > mine).count() <= settings.lossMachines();
+    }
+
     /** The hems whose sessions stand. */
     private List<Roster.Hem> hems() {
         List<Roster.Hem> out = new ArrayList<>();
--- a/src/main/java/bramblespool/coordination/Roster.java
+++ b/src/main/java/bramblespool/coordination/Roster.java
@@ -35,6 +35,8 @@
     private static final int PAGES = 1000;
     /** Most of a back-off, in reading periods. */
     private static final int LONGEST_BACKOFF = 4;
+    /** Reading periods for which the list is watched without the duty: well over the time in which somebody leads again. */
+    private static final int WATCHES = 5;
 
     private static final class Told {
         private final long life;
@@ -64,6 +66,11 @@
     private final Log log;
     private long fence;
     private boolean active;
+    /** Until when the list is read without the duty. */
+    private long watchUntil;
+    private boolean leaderless;
+    /** The leaving servers that each hem has been told of without the duty. */
+    private final Map<String, Set<String>> warned = new HashMap<>();
     private long reading;
     private long nextRead;
     private long backoff;
@@ -101,9 +108,28 @@
         active = mine;
     }
 
+    /**
+     * Says whether nobody is known to lead. The bound on leaving servers runs all the same, so for a time the list is read
+     * without the duty, and what it shows as leaving is told to its stewards; nothing is assigned.
+     */
+    void leaderless(boolean is) {
+        if (is && !leaderless) {
+            reading++;
+            nextRead = clock.now();
+            backoff = 0;
+            warned.clear();
+            watchUntil = clock.now() + WATCHES * periodMs;
+        }
+        leaderless = is;
+    }
+
+    private boolean watching() {
+        return clock.now() < watchUntil;
+    }
+
     /** One round. */
     void check() {
-        if (!active) {
+        if (!active && !watching()) {
             reading++;
             return;
         }
@@ -111,7 +137,9 @@
             nextRead = Long.MAX_VALUE;
             read(++reading, null, new TreeMap<>(), new HashSet<>());
         }
-        assign();
+        if (active) {
+            assign();
+        }
     }
 
     // ---- the list
@@ -154,6 +182,12 @@
     }
 
     private void whole(Map<String, Listing.Entry> got) {
+        if (!active) {
+            backoff = 0;
+            nextRead = clock.now() + periodMs;
+            warn(got.values());
+            return;
+        }
         if (list == null) {
             log.say(Event.LIST_READ, "zone", zone, "servers", got.size());
         }
@@ -163,6 +197,32 @@
         assign();
     }
 
+    /** Tells the stewards of servers about to end, each once. */
+    private void warn(Collection<Listing.Entry> servers) {
+        Set<String> leaving = new HashSet<>();
+        servers.forEach(e -> {
+            if (e.draining()) {
+                leaving.add(e.id());
+            }
+        });
+        for (Hem h : hems.get()) {
+            Set<String> known = warned.computeIfAbsent(h.node + " " + h.life, k -> new HashSet<>());
+            Set<String> of = new TreeSet<>(h.holds);
+            of.retainAll(leaving);
+            of.removeAll(known);
+            if (of.isEmpty()) {
+                continue;
+            }
+            ObjectNode m = JsonNodeFactory.instance.objectNode().put("zone", zone);
+            of.forEach(m.putArray("leaving")::add);
+            wire.call(h.peer, "assign", m, callMs, a -> {
+                if (a != null) {
+                    known.addAll(of);
+                }
+            });
+        }
+    }
+
     // ---- the assignment
 
     private void assign() {
--- a/src/main/java/bramblespool/coordination/Steward.java
+++ b/src/main/java/bramblespool/coordination/Steward.java
@@ -44,6 +44,9 @@
 
     /** Takes an assignment, or says which newer one stands. */
     ObjectNode assign(JsonNode m) {
+        if (m.has("leaving")) {
+            return leaving(m);
+        }
         String zone = m.path("zone").asText();
         long fence = m.path("fence").asLong();
         long n = m.path("n").asLong();
@@ -87,6 +90,18 @@
         return out.put("ok", true);
     }
 
+    /** Takes the word of whoever has read the list that servers are about to end: it needs no fence, for it is never taken back. */
+    private ObjectNode leaving(JsonNode m) {
+        Map<String, Gate> mine = byZone.getOrDefault(m.path("zone").asText(), Map.of());
+        for (JsonNode id : m.path("leaving")) {
+            Gate g = mine.get(id.asText());
+            if (g != null) {
+                g.leaving();
+            }
+        }
+        return JsonNodeFactory.instance.objectNode().put("ok", true);
+    }
+
     /** Changes that come with one assignment are told once. */
     private void gateChanged() {
         if (taking) {
--- a/src/test/java/bramblespool/GatewayTest.java
+++ b/src/test/java/bramblespool/GatewayTest.java
@@ -21,9 +21,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Hems, the list of servers and its readers, on a simulated network, clock and disks. */
@@ -143,8 +146,8 @@
         if (straightBack) {
             mesh.startHelm(reader, false);
         }
-        // drain is 2.5 s; counted from when the core is settled again the rule allows far more.
-        mesh.world.run(4300);
+        // drain is 2.5 s, but the hems are in touch only after quiet, 3 s from the last kill or start.
+        mesh.world.run(3000);
         assertFalse(takesWork("s0"));
         eachHasOneSteward();
         assertEquals(stewards("s0").size(), 1);
@@ -165,6 +168,29 @@
         eachHasOneSteward();
     }
 
+    /**
+     * The bound runs while the core is not settled, and holds for machines in touch, which they are {@code quiet} after the
+     * losses: by then nobody may send to a server that the list showed as leaving at the moment of the losses.
+     */
+    @ParameterizedTest
+    @CsvSource({"3, true", "4, true", "8, true", "9, true", "32, true", "8, false"})
+    void aLeavingAtTheMomentOfTheLossesIsNoticedOnceTheHemsAreInTouch(long seed, boolean leaderToo) {
+        mesh = new SimMesh(seed, 5, 9, 2, platform);
+        mesh.world.run(6000);
+        Set<String> lost = new TreeSet<>(List.of(reader("a")));
+        if (leaderToo) {
+            mesh.helms.forEach((peer, h) -> {
+                if (h.quorum.leads()) {
+                    lost.add(peer);
+                }
+            });
+        }
+        lost.forEach(peer -> mesh.killHelm(peer, true));
+        platform.leaving("s0");
+        mesh.world.run(3000);
+        assertFalse(takesWork("s0"));
+    }
+
     @Test
     void anAddressUsedAgainUnderAnotherIdIsAnotherServer() {
         SimPlatform.Server old = platform.list.remove("s0");
