Who waits hears at the decision; evacuations never from under their opposite; short split votes

Cause: a repeat, and rivals that had lost, waited for the phases after the decision. An evacuation in force was confirmed while its withdrawal was on its way. After a lost vote a member waited one to two elections' times.

--- a/src/test/java/bramblespool/GatewayTest.java
+++ b/src/test/java/bramblespool/GatewayTest.java
@@ -180,7 +180,7 @@
         Set<String> lost = new TreeSet<>(List.of(reader("a")));
         if (leaderToo) {
             mesh.helms.forEach((peer, h) -> {
-                if (h.quorum.leads()) {
+                if (h.raft.leads()) {
                     lost.add(peer);
                 }
             });
--- a/src/test/java/bramblespool/MajorityTest.java
+++ b/src/test/java/bramblespool/MajorityTest.java
@@ -9,6 +9,7 @@
 import bramblespool.protocol.Orders;
 import bramblespool.raft.Raft;
 import bramblespool.sim.SimMesh;
+import bramblespool.state.Ledger;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -187,4 +188,56 @@
             }
         }
     }
+
+    /** Eight orders at once and a repeat: who can't win any more hears so at the decision, not after the phases. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void whatIsDecidedIsToldToAllThatWait(long seed) {
+        SimMesh mesh = mesh(seed, 3, 1);
+        mesh.world.isolate(SimMesh.weftPeer(1), true);
+        List<Integer> said = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            mesh.order(SimMesh.change(6, 5, "rival" + i), o -> said.add(o.status()));
+        }
+        mesh.order(SimMesh.change(6, 5, "rival0"), o -> said.add(o.status()));
+        for (int i = 0; i < 4000 && mesh.leader().ledger().current().epoch() < 6; i++) {
+            mesh.world.run(1);
+        }
+        mesh.world.run(50);
+        assertTrue(mesh.leader().ledger().phase() != Ledger.Phase.MARKED, "phases are still to come");
+        assertEquals(List.of(200, 200, 412, 412, 412, 412, 412, 412, 412), said.stream().sorted().toList());
+    }
+
+    /** The opposite of what is in force is under way: a repeat of the first order comes after it, and counts. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void anEvacuationThatWasConfirmedLastIsInForce(long seed) {
+        SimMesh mesh = mesh(seed, 3, 1);
+        List<Boolean> said = new ArrayList<>();
+        for (boolean on : new boolean[] {true, false, true, false, true}) {
+            mesh.leader().evacuate("a", on, said::add);
+            if (said.isEmpty()) {
+                mesh.world.run(100);
+            }
+        }
+        mesh.world.run(200);
+        assertEquals(List.of(true, true, true, true, true), said);
+        assertTrue(mesh.leader().ledger().evacuations().get("a").on());
+    }
+
+    /** However the votes fall, somebody leads soon after a leader's loss. */
+    @Test
+    void splitVotesAreSoonOver() {
+        for (long seed = 1; seed <= 4 * SEEDS; seed++) {
+            SimMesh mesh = mesh(seed, 5, 2);
+            mesh.killHelm(leader(mesh), true);
+            mesh.killHelm(mesh.helms.keySet().iterator().next(), true);
+            long lost = mesh.world.now();
+            while (mesh.leader() == null && mesh.world.now() - lost < 9000) {
+                mesh.world.run(10);
+            }
+            // Four elections' times, of 600 ms each.
+            assertTrue(mesh.world.now() - lost <= 2400, "seed " + seed + ": " + (mesh.world.now() - lost));
+        }
+    }
 }
