All that a leader says carries its term and round; the late is refused

Cause: a phase carried no term, and phase 0 took back whatever candidate lay in a side. A phase that was late in the net or in a frozen cell took the tags of the next commit, whose sides were then left unconfirmed.

Change: phases and orders to cells carry term, round and stamp; cells and sides refuse lower ones and name the higher term, and a leader that hears of one steps down. Phase 0 and 4 touch only the version they name. A document is asked for and taken by number and stamp. A side that starts is ready once its news has been compared with a helm in touch, or every helm it knows is silent or out of touch.

--- a/src/main/java/bramblespool/coordination/Commit.java
+++ b/src/main/java/bramblespool/coordination/Commit.java
@@ -56,6 +56,8 @@
     private final ArrayDeque<Order> queue = new ArrayDeque<>();
     private boolean busy;
     private long lead;
+    /** Numbers what is said to the wefts: of what this leader says the later holds. */
+    private long round;
     private Config compiled;
     private Set<String> unconfirmed = new HashSet<>();
 
@@ -86,7 +88,7 @@
         }
         if (ledger.candidate() != null) {
             busy = true;
-            abort(ledger.candidate().epoch(), "left by the last leader", this::resume);
+            abort(ledger.candidate().epoch(), Config.stamp(ledger.candidate().packed()), "left by the last leader", this::resume);
         } else {
             resume();
         }
@@ -169,22 +171,24 @@
         return compiled;
     }
 
-    private static ObjectNode message(int phase, long old, long fresh) {
-        return JsonNodeFactory.instance.objectNode().put("phase", phase).put("old", old).put("new", fresh);
+    private ObjectNode message(int phase, long old, long fresh, String stamp) {
+        return JsonNodeFactory.instance.objectNode().put("phase", phase).put("term", raft.term()).put("round", ++round)
+                .put("old", old).put("new", fresh).put("stamp", stamp);
     }
 
     /** Phase 1, TAG DISTRIBUTION: the candidate and its tags. A missing acknowledgement aborts this try. */
     private void distribute(Order o, Config config, Set<String> wefts, int triesLeft) {
         long mine = lead;
         long within = times.distribute(config);
-        ObjectNode m = message(1, ledger.current().epoch(), config.epoch).put("open", within * triesLeft).put("doc", config.packed);
+        ObjectNode m = message(1, ledger.current().epoch(), config.epoch, config.stamp).put("open", within * triesLeft)
+                .put("doc", config.packed);
         cells.phase(m, wefts, within, acks -> {
             if (mine != lead) {
                 o.done.accept(Orders.Outcome.unclear("the lead was lost"));
                 return;
             }
             if (!acks.refused.isEmpty()) {
-                abort(config.epoch, "refused by " + acks.refused, () -> {
+                abort(config.epoch, config.stamp, "refused by " + acks.refused, () -> {
                     o.done.accept(Orders.Outcome.unclear("refused by " + acks.refused));
                     next();
                 });
@@ -202,15 +206,20 @@
                 decide(o, config, acks.confirmed);
                 return;
             }
-            cells.phase(message(0, ledger.current().epoch(), config.epoch), acks.confirmed, times.phase,
-                    x -> distribute(o, config, acks.confirmed, triesLeft - 1));
+            cells.phase(message(0, ledger.current().epoch(), config.epoch, config.stamp), acks.confirmed, times.phase, x -> {
+                if (mine == lead) {
+                    distribute(o, config, acks.confirmed, triesLeft - 1);
+                } else {
+                    o.done.accept(Orders.Outcome.unclear("the lead was lost"));
+                }
+            });
         });
     }
 
-    private void abort(long epoch, String why, Runnable then) {
+    private void abort(long epoch, String stamp, String why, Runnable then) {
         long mine = lead;
         log.say(Event.COMMIT_ABORTED, "epoch", epoch, "why", why);
-        cells.phase(message(0, ledger.current().epoch(), epoch), members.get(), times.phase, x -> { });
+        cells.phase(message(0, ledger.current().epoch(), epoch, stamp), members.get(), times.phase, x -> { });
         raft.propose(Ledger.entry("abort").put("epoch", epoch), ok -> {
             if (ok && mine == lead) {
                 then.run();
@@ -238,14 +247,16 @@
 
     /** Phase 2, TAG PACKET; then one latency bound, so that no call with a bit is under way. */
     private void tagPacket(long epoch, Set<String> wefts) {
-        phase(2, epoch, wefts, TRIES, rest -> clock.after(times.latency, () -> swap(epoch, wefts)));
+        long mine = lead;
+        phase(2, epoch, wefts, TRIES, rest -> clock.after(times.latency, () -> {
+            if (mine == lead) {
+                swap(epoch, wefts);
+            }
+        }));
     }
 
     /** Phase 3, SWAP. */
     private void swap(long epoch, Set<String> wefts) {
-        if (!raft.leads()) {
-            return;
-        }
         long mine = lead;
         phase(3, epoch, wefts, 1, rest -> raft.propose(
                 Ledger.entry("phase").put("epoch", epoch).put("phase", Ledger.Phase.SWAPPED.name()), ok -> {
@@ -274,7 +285,7 @@
     /** One phase, repeated for those who have not confirmed it; goes on with the silent ones left unconfirmed. */
     private void phase(int phase, long epoch, Set<String> wefts, int triesLeft, Consumer<Set<String>> then) {
         long mine = lead;
-        ObjectNode m = message(phase, ledger.previous().epoch(), epoch).put("stamp", Config.stamp(ledger.current().packed()));
+        ObjectNode m = message(phase, ledger.previous().epoch(), epoch, Config.stamp(ledger.current().packed()));
         cells.phase(m, wefts, times.phase, acks -> {
             if (mine != lead) {
                 return;
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -76,6 +76,7 @@
     /** The duty of reporting usage, or null where the platform wants none. */
     private final Metering metering;
     private boolean toldVoter;
+    private final Terms terms;
     /** Owners of slices that did not answer, and when. */
     private final Map<String, Long> silentSince = new HashMap<>();
     private final Map<String, Session> sessions = new HashMap<>();
@@ -101,6 +102,7 @@
         this.log = log;
         Settings.Bounds b = settings.bounds();
         this.callMs = b.quiet() / CALLS;
+        this.terms = new Terms(log);
         this.news = new News(clock, wire, callMs, b.drain() / GATHER, true, new News.Circle() {
             @Override
             public Collection<String> tell(News.Source from) {
@@ -117,6 +119,11 @@
                 List<String> sides = ownSides();
                 return sides.isEmpty() || clock.chance() < 0.5 ? List.copyOf(helms()) : sides;
             }
+
+            @Override
+            public boolean inTouch() {
+                return HelmCore.this.inTouch();
+            }
         });
         news.author(Fleet.HELM + settings.node(), this::tellSelf);
         news.listen(this::heard);
@@ -398,7 +405,16 @@
             tellSession(node, s);
         }
         s.seen = clock.now();
-        return out.put("ok", true).put("touch", raft.inTouch()).put("same", news.hash().equals(m.path("hash").asText()));
+        boolean touch = inTouch();
+        if (touch) {
+            out.put("term", raft.term());
+        }
+        return out.put("ok", true).put("touch", touch).put("same", news.hash().equals(m.path("hash").asText()));
+    }
+
+    /** Whether this helm's news is of late: it hears who leads, or a majority has lately answered it. */
+    private boolean inTouch() {
+        return raft.inTouch() && (!raft.leads() || raft.hasRight());
     }
 
     private void tellSession(String node, Session s) {
@@ -449,6 +465,7 @@
             if (a != null) {
                 a.path("ok").forEach(n -> acks.confirmed().add(n.asText()));
                 a.path("refused").forEach(n -> acks.refused().add(n.asText()));
+                raft.heardOf(a.path("term").asLong());
             }
             if (--open[0] == 0) {
                 finish.run();
@@ -472,6 +489,11 @@
         ObjectNode out = JsonNodeFactory.instance.objectNode();
         ArrayNode ok = out.putArray("ok");
         ArrayNode refused = out.putArray("refused");
+        terms.heard(raft.term());
+        if (!terms.take("cell", m)) {
+            answer.accept(out.put("term", terms.highest()));
+            return;
+        }
         ObjectNode plain = ((ObjectNode) m).deepCopy();
         plain.remove(List.of("wefts", "within"));
         int[] open = {1};
@@ -492,6 +514,10 @@
                 } else if (a != null && a.path("refused").asBoolean()) {
                     refused.add(w.asText());
                 }
+                if (a != null && a.path("term").asLong() > m.path("term").asLong()) {
+                    terms.heard(a.path("term").asLong());
+                    out.put("term", terms.highest());
+                }
                 one.run();
             });
         }
@@ -618,13 +644,10 @@
             case "lease" -> lease(m, answer);
             case "admit" -> admit(m, answer);
             case "token" -> answer.accept(token(m));
-            case "raise" -> {
-                duties.raise(m.path("key").asText(), m.path("fence").asLong());
-                answer.accept(JsonNodeFactory.instance.objectNode());
-            }
+            case "raise" -> answer.accept(raise(m));
             case "cell" -> cell(m, answer);
-            case "doc" -> answer.accept(doc(m.path("epoch").asLong()));
-            case "ping" -> answer.accept(JsonNodeFactory.instance.objectNode());
+            case "doc" -> answer.accept(doc(m.path("epoch").asLong(), m.path("stamp").asText()));
+            case "ping" -> answer.accept(JsonNodeFactory.instance.objectNode().put("touch", inTouch()));
             case "status" -> answer.accept(status());
             default -> {
                 log.once(Event.MESSAGE_DROPPED, kind, "kind", kind, "cause", "unknown");
@@ -633,9 +656,21 @@
         }
     }
 
-    private ObjectNode doc(long epoch) {
+    /** A holder asks for a higher fence, and names the term in which it takes this helm for the leader. */
+    private ObjectNode raise(JsonNode m) {
+        long term = m.path("term").asLong();
+        raft.heardOf(term);
+        if (term == raft.term()) {
+            duties.raise(m.path("key").asText(), m.path("fence").asLong());
+        } else {
+            log.say(Event.LOWER_TERM_REFUSED, "kind", "raise", "term", term, "known", raft.term());
+        }
+        return JsonNodeFactory.instance.objectNode().put("term", raft.term());
+    }
+
+    private ObjectNode doc(long epoch, String stamp) {
         for (Ledger.Version v : List.of(ledger.current(), ledger.previous())) {
-            if (v.epoch() == epoch && v.packed() != null) {
+            if (v.epoch() == epoch && v.packed() != null && (stamp.isEmpty() || stamp.equals(Config.stamp(v.packed())))) {
                 return JsonNodeFactory.instance.objectNode().put("doc", v.packed());
             }
         }
--- a/src/main/java/bramblespool/coordination/Membership.java
+++ b/src/main/java/bramblespool/coordination/Membership.java
@@ -25,6 +25,8 @@
 
     private final Supplier<Settings> settings;
     private final News news;
+    private final Terms terms;
+    private final Confirmation confirmation;
     private final Clock clock;
     private final Wire wire;
     private final long callMs;
@@ -48,9 +50,12 @@
     private final TrueTime time;
     private String tallyAt;
 
-    Membership(Supplier<Settings> settings, News news, Tally tally, TrueTime time, Clock clock, Wire wire, long callMs, long renewalMs, Log log) {
+    Membership(Supplier<Settings> settings, News news, Terms terms, Confirmation confirmation, Tally tally, TrueTime time,
+            Clock clock, Wire wire, long callMs, long renewalMs, Log log) {
         this.settings = settings;
         this.news = news;
+        this.terms = terms;
+        this.confirmation = confirmation;
         this.tally = tally;
         this.time = time;
         this.clock = clock;
@@ -127,6 +132,8 @@
         wire.call(to, "session", message(to, number, false), callMs, a -> {
             if (a != null) {
                 counted(to, asked, a);
+            } else {
+                confirmation.lacks(to);
             }
             if (!to.equals(helm)) {
                 return;
@@ -202,10 +209,16 @@
             open = true;
             log.say(Event.SESSION_OPEN, "helm", helm);
         }
+        terms.heard(a.path("term").asLong());
+        boolean touch = a.path("touch").asBoolean(true);
+        String at = helm;
         if (!a.path("same").asBoolean()) {
-            news.compare(helm);
+            news.compare(at, how -> confirmation.compared(at, how));
+        } else {
+            confirmation.compared(at, touch ? News.Compared.IN_TOUCH : News.Compared.DONE);
         }
-        if (!a.path("touch").asBoolean(true)) {
+        if (!touch) {
+            confirmation.lacks(at);
             compareElsewhere();
         }
     }
@@ -215,7 +228,8 @@
         List<String> others = new ArrayList<>(Fleet.helms(news, settings.get()));
         others.remove(helm);
         if (!others.isEmpty()) {
-            news.compare(others.get((int) (clock.chance() * others.size())));
+            String other = others.get((int) (clock.chance() * others.size()));
+            news.compare(other, how -> confirmation.compared(other, how));
         }
     }
 
--- a/src/main/java/bramblespool/coordination/Metering.java
+++ b/src/main/java/bramblespool/coordination/Metering.java
@@ -342,8 +342,8 @@
     private void raise(long fence) {
         String leader = raft.leaderId();
         if (leader != null && !raft.leads()) {
-            wire.call(Raft.addressOf(leader), "raise", JsonNodeFactory.instance.objectNode().put("key", DUTY).put("fence", fence),
-                    callMs, a -> { });
+            wire.call(Raft.addressOf(leader), "raise", JsonNodeFactory.instance.objectNode().put("key", DUTY).put("fence", fence)
+                    .put("term", raft.term()), callMs, a -> { });
         } else {
             duties.raise(DUTY, fence);
         }
--- a/src/main/java/bramblespool/coordination/News.java
+++ b/src/main/java/bramblespool/coordination/News.java
@@ -48,6 +48,21 @@
         Collection<String> tell(Source from);
 
         List<String> compare();
+
+        /** Whether this daemon is a helm that lately heard from who leads: then its news is of late too. */
+        default boolean inTouch() {
+            return false;
+        }
+    }
+
+    /** What came of a comparison. */
+    public enum Compared {
+        /** Nobody answered, or not to the end. */
+        SILENT,
+        /** Nothing is lacking here that the other knows, but the other may be behind. */
+        DONE,
+        /** Nothing is lacking here that a helm in touch knows. */
+        IN_TOUCH
     }
 
     /** The kind of message that compares what two daemons know. */
@@ -208,13 +223,24 @@
 
     /** Compares digests with one daemon and exchanges what either lacks. */
     public void compare(String to) {
+        compare(to, x -> { });
+    }
+
+    /** Compares, and says what came of it once what was lacking has been taken. */
+    public void compare(String to, Consumer<Compared> done) {
         ObjectNode m = message().put("hash", hash());
         ArrayNode b = m.putArray("branches");
         for (long h : branches) {
             b.add(brief(h));
         }
         wire.call(to, DIGEST, m, callMs, a -> {
-            if (a == null || a.path("same").asBoolean()) {
+            if (a == null) {
+                done.accept(Compared.SILENT);
+                return;
+            }
+            Compared whole = a.path("touch").asBoolean() ? Compared.IN_TOUCH : Compared.DONE;
+            if (a.path("same").asBoolean()) {
+                done.accept(whole);
                 return;
             }
             boolean[] open = new boolean[BRANCHES];
@@ -241,7 +267,10 @@
                     if (got != null) {
                         merge(got);
                     }
+                    done.accept(got == null ? Compared.SILENT : whole);
                 });
+            } else {
+                done.accept(whole);
             }
         });
     }
@@ -301,6 +330,9 @@
             return false;
         }
         ObjectNode out = message();
+        if (circle.inTouch()) {
+            out.put("touch", true);
+        }
         if (hash().equals(m.path("hash").asText())) {
             answer.accept(out.put("same", true));
             return true;
--- a/src/main/java/bramblespool/coordination/Shadow.java
+++ b/src/main/java/bramblespool/coordination/Shadow.java
@@ -109,7 +109,7 @@
 
     /** Phase 1, which may stay open so long for others. Answers null when recorded, or why not. */
     public String distribute(long old, long fresh, Config candidate, long openMs) {
-        if (epoch() == fresh) {
+        if (real() != null && real().is(fresh, candidate.stamp)) {
             return null;
         }
         if (epoch() != old) {
@@ -121,17 +121,18 @@
         tagging = false;
         swapped = false;
         cancel();
-        timeout = clock.after(revertMs + openMs, this::revert);
+        timeout = clock.after(revertMs + openMs, () -> revert(fresh, candidate.stamp));
         return null;
     }
 
-    /** No TAG PACKET came, or the commit was aborted: back to the normal state. */
-    public void revert() {
-        if (!tagging && tagNew >= 0 && !swapped) {
-            log.say(Event.SHADOW_REVERTED, "epoch", tagNew);
-            tagOld = -1;
-            tagNew = -1;
+    /** No TAG PACKET came, or this candidate's commit was aborted: back to the normal state. Another one's tags stay. */
+    public void revert(long fresh, String stamp) {
+        if (tagging || swapped || fresh != tagNew || shadow() == null || !shadow().is(fresh, stamp)) {
+            return;
         }
+        log.say(Event.SHADOW_REVERTED, "epoch", tagNew);
+        tagOld = -1;
+        tagNew = -1;
         cancel();
     }
 
@@ -148,7 +149,7 @@
     /** Phase 3: the map's entries are exchanged; the tags stay with their versions. */
     public boolean swap(long fresh, String stamp) {
         if (epoch() == fresh) {
-            return true;
+            return real().is(fresh, stamp);
         }
         if (fresh != tagNew || shadow() == null || !shadow().is(fresh, stamp)) {
             return false;
@@ -162,15 +163,17 @@
         return true;
     }
 
-    /** Phase 4: back to the bit. */
-    public boolean markBit(long fresh) {
-        if (epoch() != fresh) {
+    /** Phase 4: back to the bit. The tags of a commit that has begun since stay. */
+    public boolean markBit(long fresh, String stamp) {
+        if (real() == null || !real().is(fresh, stamp)) {
             return false;
         }
-        tagging = false;
-        swapped = false;
-        tagOld = -1;
-        tagNew = -1;
+        if (tagNew == fresh) {
+            tagging = false;
+            swapped = false;
+            tagOld = -1;
+            tagNew = -1;
+        }
         return true;
     }
 
@@ -187,7 +190,7 @@
         tagging = true;
         swapped = true;
         if (settled) {
-            markBit(decided.epoch);
+            markBit(decided.epoch, decided.stamp);
         }
         log.say(Event.VERSION_ADOPTED, "epoch", decided.epoch, "how", "adopted");
         changed.run();
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -59,6 +59,9 @@
     /** This side and its life, as its claims name it. */
     private final String claimer;
     private final Membership membership;
+    private final Terms terms;
+    private final Confirmation confirmation;
+    private boolean saidUnconfirmed;
     private final long callMs;
     private boolean gone;
     private boolean retiring;
@@ -88,7 +91,9 @@
         TrueTime time = new TrueTime(clock);
         this.tally = settings.metering() == null ? null
                 : new Tally(time, claimer, settings.metering().window(), settings.metering().late());
-        this.membership = new Membership(() -> this.settings, news, tally, time, clock, wire, callMs, b.quiet() / RENEWALS, log);
+        this.terms = new Terms(log);
+        this.confirmation = new Confirmation(() -> Fleet.helms(news, this.settings), this::newest, news, wire, callMs, log);
+        this.membership = new Membership(() -> this.settings, news, terms, confirmation, tally, time, clock, wire, callMs, b.quiet() / RENEWALS, log);
         this.fleet = new Fleet(clock, settings.node(), settings.zone(), b.quiet() / 3, gates::load);
         this.shadow = new Shadow(clock, b.apply() * 2 / 5, log);
         if (settings.edge()) {
@@ -127,6 +132,7 @@
             gates.check();
             membership.renew();
             catchUp();
+            sayUnconfirmed();
             budget.wanting().forEach(this::lease);
         });
         clock.every(renew * 2, news::mend);
@@ -137,7 +143,14 @@
     }
 
     public boolean ready() {
-        return !gone && !retiring && shadow.real() != null && fleet.anyServer();
+        return !gone && !retiring && shadow.real() != null && confirmation.lets(shadow.epoch()) && fleet.anyServer();
+    }
+
+    private void sayUnconfirmed() {
+        if (!saidUnconfirmed && !confirmation.confirmed() && ready()) {
+            saidUnconfirmed = true;
+            log.say(Event.UNCONFIRMED, "epoch", shadow.epoch());
+        }
     }
 
     public boolean sessionOpen() {
@@ -226,6 +239,12 @@
         gates.warming(shadow.real());
     }
 
+    /** The number of the newest version that the news tells of. */
+    private long newest() {
+        News.Item order = news.get(Fleet.ORDER);
+        return order == null ? 0 : order.body().path("epoch").asLong();
+    }
+
     /** Compares the version in force here with the one decided, as the news tells it, and acts on the difference. */
     private void catchUp() {
         News.Item order = news.get(Fleet.ORDER);
@@ -233,10 +252,11 @@
             return;
         }
         long epoch = order.body().path("epoch").asLong();
+        String stamp = order.body().path("stamp").asText();
         boolean marked = order.body().path("phase").asText().equals("MARKED");
         if (epoch == shadow.epoch()) {
             if (marked && shadow.tagging()) {
-                shadow.markBit(epoch);
+                shadow.markBit(epoch, stamp);
             }
             return;
         }
@@ -248,19 +268,19 @@
             // The commit is under way; should it not come by, the decided version is taken all the same.
             clock.after(settings.bounds().apply() / 4, () -> {
                 if (shadow.epoch() < epoch) {
-                    fetch(epoch, false);
+                    fetch(epoch, stamp, false);
                 }
             });
             return;
         }
-        if (shadow.shadow() != null && shadow.shadow().is(epoch, order.body().path("stamp").asText())) {
+        if (shadow.shadow() != null && shadow.shadow().is(epoch, stamp)) {
             shadow.adopt(shadow.shadow(), marked);
         } else {
-            fetch(epoch, marked);
+            fetch(epoch, stamp, marked);
         }
     }
 
-    private void fetch(long epoch, boolean marked) {
+    private void fetch(long epoch, String stamp, boolean marked) {
         if (fetching) {
             return;
         }
@@ -276,27 +296,31 @@
         some(others(), 2, more);
         from.addAll(more);
         fetching = true;
-        fetch(epoch, marked, from, 0);
+        fetch(epoch, stamp, marked, from, 0);
     }
 
-    private void fetch(long epoch, boolean marked, List<String> from, int at) {
+    private void fetch(long epoch, String stamp, boolean marked, List<String> from, int at) {
         if (at >= from.size() || shadow.epoch() >= epoch) {
             fetching = false;
             return;
         }
-        wire.call(from.get(at), "doc", JsonNodeFactory.instance.objectNode().put("epoch", epoch),
+        wire.call(from.get(at), "doc", JsonNodeFactory.instance.objectNode().put("epoch", epoch).put("stamp", stamp),
                 settings.bounds().apply() / FETCHES, a -> {
             if (a != null && a.path("doc").isTextual()) {
                 try {
-                    shadow.adopt(Config.unpack(a.path("doc").asText()), marked);
-                    fetching = false;
-                    catchUp();
-                    return;
+                    Config got = Config.unpack(a.path("doc").asText());
+                    if (got.is(epoch, stamp)) {
+                        shadow.adopt(got, marked);
+                        fetching = false;
+                        catchUp();
+                        return;
+                    }
+                    log.once(Event.MESSAGE_DROPPED, "doc" + got.tag(), "kind", "doc", "cause", "another document");
                 } catch (Config.Invalid e) {
                     log.once(Event.MESSAGE_DROPPED, "doc" + e.getMessage(), "kind", "doc", "cause", e.getMessage());
                 }
             }
-            fetch(epoch, marked, from, at + 1);
+            fetch(epoch, stamp, marked, from, at + 1);
         });
     }
 
@@ -346,7 +370,7 @@
             case "phase" -> answer.accept(phase(m));
             case "assign" -> answer.accept(steward == null ? null : steward.assign(m));
             case "ping" -> answer.accept(JsonNodeFactory.instance.objectNode());
-            case "doc" -> answer.accept(doc(m.path("epoch").asLong()));
+            case "doc" -> answer.accept(doc(m.path("epoch").asLong(), m.path("stamp").asText()));
             case "operation" -> answer.accept(operation(m));
             case "status" -> answer.accept(status());
             default -> {
@@ -393,18 +417,21 @@
                 .put("print", print), withinMs, answer);
     }
 
-    private ObjectNode doc(long epoch) {
+    private ObjectNode doc(long epoch, String stamp) {
         Config c = shadow.real();
-        return c == null || c.epoch != epoch ? null : JsonNodeFactory.instance.objectNode().put("doc", c.packed);
+        return c == null || !c.is(epoch, stamp) ? null : JsonNodeFactory.instance.objectNode().put("doc", c.packed);
     }
 
     private ObjectNode phase(JsonNode m) {
         long fresh = m.path("new").asLong();
         String stamp = m.path("stamp").asText();
         ObjectNode out = JsonNodeFactory.instance.objectNode();
+        if (!terms.take("phase", m)) {
+            return out.put("ok", false).put("term", terms.highest());
+        }
         switch (m.path("phase").asInt()) {
             case 0 -> {
-                shadow.revert();
+                shadow.revert(fresh, stamp);
                 return out.put("ok", true);
             }
             case 1 -> {
@@ -427,7 +454,7 @@
                 return out.put("ok", shadow.swap(fresh, stamp));
             }
             case 4 -> {
-                return out.put("ok", shadow.markBit(fresh));
+                return out.put("ok", shadow.markBit(fresh, stamp));
             }
             default -> {
                 return null;
@@ -439,6 +466,7 @@
         ObjectNode n = JsonNodeFactory.instance.objectNode().put("role", steward == null ? "weft" : "hem")
                 .put("node", settings.node()).put("zone", settings.zone()).put("epoch", shadow.epoch())
                 .put("tagging", shadow.tagging()).put("helm", helm()).put("session", sessionOpen()).put("ready", ready())
+                .put("term", terms.highest()).put("confirmed", confirmation.confirmed())
                 .put("open", gates.open()).put("load", gates.load()).put("capacity", gates.capacity())
                 .put("sides", fleet.sides()).put("operations", operations.held()).put("answerBytes", operations.bytes());
         var servers = n.putArray("servers");
--- a/src/main/java/bramblespool/raft/Raft.java
+++ b/src/main/java/bramblespool/raft/Raft.java
@@ -399,6 +399,13 @@
         }
     }
 
+    /** Somebody has heard of a leader in that term: a leader in a lower one is none any more. */
+    public void heardOf(long newer) {
+        if (newer > term && role == Role.LEADER) {
+            stepDown(newer, "a higher term was heard of");
+        }
+    }
+
     /** Asks to be taken in where this helm is no voter. */
     public void join(Iterable<String> addresses) {
         if (stopped || voters().contains(self)) {
--- a/src/test/java/bramblespool/ShadowTest.java
+++ b/src/test/java/bramblespool/ShadowTest.java
@@ -53,7 +53,7 @@
         assertEquals(config(7).tag(), shadow.mark());
         assertEquals(5, named("t5"), "the tags are not swapped");
         assertEquals(5, named("0"), "a bit from one that has not had TAG PACKET still means C_old");
-        assertTrue(shadow.markBit(7));
+        assertTrue(shadow.markBit(7, config(7).stamp));
         assertEquals("0", shadow.mark());
         assertEquals(7, named("0"));
         assertEquals(5, named("1"));
@@ -83,7 +83,7 @@
         shadow.distribute(5, 7, config(7), 0);
         shadow.tagPacket(7, config(7).stamp);
         shadow.swap(7, config(7).stamp);
-        shadow.revert();
+        shadow.revert(7, config(7).stamp);
         assertEquals(7, shadow.epoch());
         shadow.adopt(config(6), true);
         assertEquals(7, shadow.epoch(), "never back within a life");
--- a/src/test/java/bramblespool/sim/SimWorld.java
+++ b/src/test/java/bramblespool/sim/SimWorld.java
@@ -38,6 +38,13 @@
     public Runnable afterEach = () -> { };
     public long messages;
     public long bytes;
+    /** Keeps a message in the net, which may be delivered at any later time or never. */
+    public interface Keeper {
+        boolean keeps(String from, String to, String kind, ObjectNode body, Runnable deliver);
+    }
+
+    /** Who keeps messages back. */
+    public Keeper keeper = (from, to, kind, body, deliver) -> false;
     /** Messages and their bytes, answers included, by kind; filled where it is not null. */
     public Map<String, long[]> kinds;
 
@@ -214,30 +221,35 @@
             sentBytes += wire.length();
             count(kind, 1, wire.length());
             int caller = life;
-            at(leaves(wire.length()), () -> {
-                Machine to = machines.get(address);
-                if (to == null || cuts.contains(peer + ">" + address)) {
-                    return;
-                }
-                if (!to.up || to.service == null) {
-                    at(1, () -> back(caller, once, null));
+            Runnable deliver = () -> deliver(address, kind, wire, caller, once);
+            if (!keeper.keeps(peer, address, kind, body, deliver)) {
+                at(leaves(wire.length()), deliver);
+            }
+        }
+
+        private void deliver(String address, String kind, String wire, int caller, Consumer<JsonNode> once) {
+            Machine to = machines.get(address);
+            if (to == null || cuts.contains(peer + ">" + address)) {
+                return;
+            }
+            if (!to.up || to.service == null) {
+                at(1, () -> back(caller, once, null));
+                return;
+            }
+            int callee = to.life;
+            to.handle(wire.length(), () -> {
+                if (to.life != callee) {
                     return;
                 }
-                int callee = to.life;
-                to.handle(wire.length(), () -> {
-                    if (to.life != callee) {
-                        return;
-                    }
-                    to.service.serve(kind, parse(wire), out -> {
-                        String text = out == null ? null : out.toString();
-                        int length = text == null ? 0 : text.length();
-                        to.sentBytes += length;
-                        count(kind, 0, length);
-                        at(to.leaves(length), () -> {
-                            if (!cuts.contains(address + ">" + peer)) {
-                                handle(length, () -> back(caller, once, text));
-                            }
-                        });
+                to.service.serve(kind, parse(wire), out -> {
+                    String text = out == null ? null : out.toString();
+                    int length = text == null ? 0 : text.length();
+                    to.sentBytes += length;
+                    count(kind, 0, length);
+                    at(to.leaves(length), () -> {
+                        if (!cuts.contains(address + ">" + peer)) {
+                            handle(length, () -> back(caller, once, text));
+                        }
                     });
                 });
             });
