Terms on simulated clusters: liveness, thaw, old news, documents, lost words

Cause: the word by which the holder of usage reports asks for a higher fence was said once; where it was lost nothing more was reported while it held the duty. A helm named a term that it had voted in, though nobody may have won it. A side that starts with the core cut off asked silent helms for a document first.

Change: the word is said again; a helm names the term of the leader it heard; without a session documents are asked of sides first.

--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -407,7 +407,7 @@
         s.seen = clock.now();
         boolean touch = inTouch();
         if (touch) {
-            out.put("term", raft.term());
+            out.put("term", raft.leaderTerm());
         }
         return out.put("ok", true).put("touch", touch).put("same", news.hash().equals(m.path("hash").asText()));
     }
@@ -489,7 +489,7 @@
         ObjectNode out = JsonNodeFactory.instance.objectNode();
         ArrayNode ok = out.putArray("ok");
         ArrayNode refused = out.putArray("refused");
-        terms.heard(raft.term());
+        terms.heard(raft.leaderTerm());
         if (!terms.take("cell", m)) {
             answer.accept(out.put("term", terms.highest()));
             return;
--- a/src/main/java/bramblespool/coordination/Metering.java
+++ b/src/main/java/bramblespool/coordination/Metering.java
@@ -211,7 +211,13 @@
 
     private void round() {
         sums.values().removeIf(s -> clock.now() - s.heard > rules.late() * 2);
-        if (busy || clock.now() < pausedUntil || !holds() || refusedFence == underFence) {
+        if (busy || clock.now() < pausedUntil || !holds()) {
+            return;
+        }
+        if (refusedFence == underFence) {
+            // Nothing is said under it any more; the word for a higher one may have been lost.
+            pausedUntil = clock.now() + callMs * 2;
+            raise(underFence);
             return;
         }
         long w = reported() + 1;
--- a/src/main/java/bramblespool/coordination/WeftCore.java
+++ b/src/main/java/bramblespool/coordination/WeftCore.java
@@ -288,10 +288,14 @@
         if (sessionOpen()) {
             from.add(helm());
         }
-        // Other helms have it, where the own one does not; near sides may be as far behind as this one.
+        // Other helms have it, where the own one does not; near sides may be as far behind as this one. Without a session the
+        // helms may all be gone, and each that is silent costs time, which one that has nothing to give does not.
         List<String> helms = new ArrayList<>(Fleet.helms(news, settings));
         helms.removeAll(from);
         Set<String> more = new LinkedHashSet<>();
+        if (!sessionOpen()) {
+            some(fleet.peerAddresses(false), 2, more);
+        }
         some(helms, 2, more);
         some(others(), 2, more);
         from.addAll(more);
--- a/src/main/java/bramblespool/raft/Raft.java
+++ b/src/main/java/bramblespool/raft/Raft.java
@@ -52,6 +52,7 @@
     private String leader;
     private String leaderControl;
     private long leaderHeard;
+    private long leaderTerm;
     private boolean ready;
     private boolean stopped;
     long leadingSince;
@@ -114,6 +115,11 @@
         return term;
     }
 
+    /** The highest term in which this member has led or heard of who leads. */
+    public long leaderTerm() {
+        return leaderTerm;
+    }
+
     public long applied() {
         return applied;
     }
@@ -232,6 +238,7 @@
         leader = self;
         leaderControl = control;
         leadingSince = clock.now();
+        leaderTerm = term;
         ready = false;
         replication.clear();
         log.say(Event.LEADING, "term", term);
@@ -390,6 +397,7 @@
         leader = m.path("from").asText();
         leaderControl = m.path("control").asText();
         leaderHeard = clock.now();
+        leaderTerm = term;
         election.postpone();
         rights.heard(leader, m);
         if (kind.equals("snap")) {
--- a/src/test/java/bramblespool/TermTest.java
+++ b/src/test/java/bramblespool/TermTest.java
@@ -10,8 +10,14 @@
 import bramblespool.protocol.Orders;
 import bramblespool.raft.Raft;
 import bramblespool.sim.SimMesh;
+import bramblespool.sim.SimPlatform;
+import bramblespool.sim.SimWorld;
+import bramblespool.state.Config;
 import bramblespool.state.Ledger;
+import bramblespool.state.Packed;
+import bramblespool.transport.Wire;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
@@ -21,6 +27,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -209,6 +216,14 @@
         mesh.leader().evacuate("b", true, a -> ok[0] = a);
         mesh.world.run(QUIET * 6);
         assertTrue(ok[0]);
+        // Helms in touch are slower to tell their news than the one that is not.
+        mesh.world.keeper = (from, to, kind, m, deliver) -> {
+            boolean late = seed > 8 && kind.equals("digest") && !to.equals(cut) && mesh.helms.containsKey(to);
+            if (late) {
+                mesh.world.at(50 + r.nextInt(150), deliver);
+            }
+            return late;
+        };
         List<String> broken = new ArrayList<>();
         int atCut = 0;
         for (String peer : List.copyOf(mesh.wefts.keySet())) {
@@ -236,13 +251,6 @@
         assertTrue(atCut > 0);
     }
 
-    private static void apart(SimMesh mesh, String cut, boolean on) {
-        for (String h : mesh.helms.keySet()) {
-            mesh.world.cut(cut, h, on && !h.equals(cut));
-            mesh.world.cut(h, cut, on && !h.equals(cut));
-        }
-    }
-
     /** It starts at any time around the cut, also while the helm does not know of it yet: it is behind for a bounded time. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
@@ -252,8 +260,10 @@
         String cut = mesh.helms.keySet().stream().filter(h -> seed % 2 == 0 || !h.equals(leader(mesh))).findFirst().orElseThrow();
         int i = Integer.parseInt(cut.substring(cut.lastIndexOf('.') + 1, cut.indexOf(':'))) - 1;
         String peer = SimMesh.weftPeer(i);
-        apart(mesh, cut, true);
+        mesh.world.isolate(cut, true);
         mesh.killWeft(peer);
+        mesh.world.cut(cut, peer, false);
+        mesh.world.cut(peer, cut, false);
         long[] decided = {Long.MAX_VALUE};
         mesh.order(SimMesh.change(6, 5, "two"), o -> {
             if (o.status() == 200) {
@@ -282,4 +292,305 @@
         long behind = mesh.world.now() - Math.max(started, decided[0]);
         assertTrue(behind <= QUIET * 2 / 3, "behind for " + behind);
     }
+
+    /** A side that has heard of a term that nobody here has led in refuses who leads now, and so leads to a higher term. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void aSideWithAHigherTermIsNeverStuck(long seed) {
+        SimMesh mesh = mesh(seed, 3, 6);
+        String peer = SimMesh.weftPeer(mesh.world.random.nextInt(6));
+        long high = mesh.leader().raft.term() + 50;
+        ask(mesh, peer, "phase", JsonNodeFactory.instance.objectNode().put("phase", 4).put("term", high).put("round", 9).put("new", 1));
+        assertEquals(high, status(mesh, peer).path("term").asLong());
+        assertEquals(200, order(mesh, 6, 5, "two").status());
+        settle(mesh);
+        assertTrue(mesh.leader().raft.term() > high, mesh.leader().raft.term() + " leads, " + high + " was known");
+        long base = mesh.leader().ledger().current().epoch();
+        commits(mesh, base + 1, base, List.of());
+    }
+
+    /** A lower term is refused by cells and sides alike, and the answer names the higher one. */
+    @Test
+    void whoSaysSomethingInALowerTermIsToldTheHigher() {
+        SimMesh mesh = mesh(3, 3, 6);
+        long term = mesh.leader().raft.term();
+        mesh.killHelm(leader(mesh), true);
+        mesh.world.run(5000);
+        long now = mesh.leader().raft.term();
+        assertTrue(now > term);
+        ObjectNode m = JsonNodeFactory.instance.objectNode().put("phase", 1).put("term", term).put("round", 1000).put("old", 5)
+                .put("new", 6).put("within", 200).put("doc", document(6, "late").packed);
+        ArrayNode wefts = m.putArray("wefts");
+        mesh.wefts.forEach((p, w) -> wefts.add(status(mesh, p).path("node").asText()));
+        for (String h : mesh.helms.keySet()) {
+            JsonNode a = ask(mesh, h, "cell", m);
+            assertEquals(now, a.path("term").asLong(), h);
+            assertTrue(a.path("ok").isEmpty(), h);
+        }
+        mesh.wefts.forEach((p, w) -> {
+            JsonNode a = ask(mesh, p, "phase", m);
+            assertFalse(a.path("ok").asBoolean(), p);
+            assertEquals(now, a.path("term").asLong(), p);
+            assertTrue(w.shadow.shadow() == null || w.shadow.shadow().epoch != 6, p + " has the late candidate");
+        });
+    }
+
+    private static Config document(long epoch, String prefix) {
+        try {
+            String text = SimMesh.document(epoch, 5, prefix);
+            return Config.unpack(Packed.pack(text));
+        } catch (Config.Invalid e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /**
+     * Whatever fails, a side knows no term but of somebody who has led in it, and once the helms are together again who leads
+     * does so in no lower one: also after all have lost power.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void nothingLeadsBelowWhatASideKnows(long seed) {
+        SimMesh mesh = mesh(seed, seed % 2 == 0 ? 4 : 3, 5);
+        Random r = mesh.world.random;
+        int helms = mesh.helms.size();
+        long[] led = new long[1];
+        List<String> broken = new ArrayList<>();
+        mesh.world.afterEach = () -> {
+            mesh.helms.values().forEach(h -> led[0] = Math.max(led[0], h.raft.self().equals(h.raft.leaderId()) ? h.raft.term() : 0));
+            mesh.wefts.keySet().forEach(p -> {
+                long known = status(mesh, p).path("term").asLong();
+                if (known > led[0]) {
+                    broken.add(p + " knows " + known + ", led was " + led[0]);
+                }
+            });
+        };
+        for (int round = 0; round < 12; round++) {
+            HelmCore l = mesh.leader();
+            long base = l.ledger().current().epoch();
+            mesh.order(SimMesh.change(base + 1, base, "p" + round), o -> { });
+            mesh.world.run(r.nextInt(200));
+            String peer = r.nextBoolean() ? leader(mesh) : SimMesh.helmPeer(r.nextInt(helms));
+            switch (r.nextInt(4)) {
+                case 0 -> {
+                    List<String> all = List.copyOf(mesh.helms.keySet());
+                    all.forEach(h -> mesh.killHelm(h, true));
+                    mesh.world.run(r.nextInt(1000));
+                    all.forEach(h -> mesh.startHelm(h, false));
+                }
+                case 1 -> {
+                    mesh.killHelm(peer, true);
+                    mesh.world.machine(peer).disk.wipe();
+                    mesh.world.run(200 + r.nextInt(1000));
+                    mesh.startHelm(peer, false);
+                    mesh.world.run(8000);
+                }
+                case 2 -> {
+                    mesh.world.isolate(peer, true);
+                    mesh.world.run(r.nextInt(4000));
+                    mesh.world.isolate(peer, false);
+                }
+                default -> mesh.world.machine(peer).freeze(r.nextInt(3000));
+            }
+            mesh.world.run(6000);
+            assertEquals(List.of(), broken.stream().limit(3).toList(), "round " + round);
+            assertNotNull(mesh.leader(), "round " + round);
+            long term = mesh.leader().raft.term();
+            mesh.wefts.keySet().forEach(p -> assertTrue(status(mesh, p).path("term").asLong() <= term, p));
+            settle(mesh);
+            commits(mesh, mesh.leader().ledger().current().epoch() + 1, mesh.leader().ledger().current().epoch(), List.of());
+        }
+    }
+
+    /** A cell stands still with an order in hand or on its way, for less or more than an election takes, and thaws. */
+    @ParameterizedTest
+    @MethodSource("phases")
+    void aCellThatThawsPutsNothingOldInForce(int phase, long seed) {
+        SimMesh mesh = mesh(seed, 3, 6);
+        Random r = mesh.world.random;
+        Map<WeftCore, Long> highest = new IdentityHashMap<>();
+        Map<Long, String> inForce = new HashMap<>();
+        List<String> broken = new ArrayList<>();
+        mesh.world.afterEach = () -> mesh.wefts.forEach((p, w) -> {
+            long e = w.shadow.epoch();
+            if (e < highest.getOrDefault(w, 0L) || !w.shadow.real().stamp.equals(inForce.computeIfAbsent(e, k -> w.shadow.real().stamp))) {
+                broken.add(p + " has " + e + " of " + w.shadow.real().stamp);
+            }
+            highest.put(w, e);
+        });
+        String old = leader(mesh);
+        String cell = mesh.helms.keySet().stream().filter(h -> !h.equals(old)).findFirst().orElseThrow();
+        String away = SimMesh.weftPeer(r.nextInt(6));
+        mesh.world.isolate(away, phase == 0);
+        int[] frozen = new int[1];
+        mesh.world.keeper = (from, to, kind, m, deliver) -> {
+            if (kind.equals("cell") && to.equals(cell) && m.path("phase").asInt() == phase && frozen[0]++ == 0) {
+                mesh.world.machine(cell).freeze(200 + r.nextInt(2500));
+            }
+            return false;
+        };
+        mesh.order(SimMesh.change(7, 5, "lost"), o -> { });
+        for (int i = 0; i < 2000 && frozen[0] == 0; i++) {
+            mesh.world.run(1);
+        }
+        assertTrue(frozen[0] > 0);
+        mesh.world.run(r.nextInt(100));
+        if (r.nextBoolean()) {
+            mesh.killHelm(old, true);
+            mesh.startHelm(old, false);
+        }
+        mesh.world.isolate(away, false);
+        for (int i = 0; i < 60 && mesh.leader() == null; i++) {
+            mesh.world.run(50);
+        }
+        long base = mesh.leader().ledger().current().epoch();
+        mesh.order(SimMesh.change(8, base, "won"), o -> { });
+        mesh.world.run(4000);
+        settle(mesh);
+        assertEquals(List.of(), broken);
+        long now = mesh.leader().ledger().current().epoch();
+        mesh.wefts.forEach((p, w) -> assertEquals(now, w.shadow.epoch(), p));
+        commits(mesh, now + 1, now, List.of());
+    }
+
+    /** What a zone that was cut off has to tell when it is back is old, and is taken over nothing newer. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void oldNewsOfAHelmThatWasCutOffReplacesNothingNewer(long seed) {
+        SimMesh mesh = mesh(seed, 4, 8);
+        Random r = mesh.world.random;
+        boolean[] ok = new boolean[2];
+        mesh.leader().evacuate("b", true, a -> ok[0] = a);
+        mesh.world.run(1000);
+        String cut = r.nextBoolean() ? leader(mesh) : SimMesh.helmPeer(r.nextInt(4));
+        List<String> with = mesh.wefts.keySet().stream().filter(p -> r.nextInt(3) == 0).toList();
+        mesh.world.isolate(cut, true);
+        with.forEach(p -> mesh.world.isolate(p, true));
+        with.forEach(p -> {
+            mesh.world.cut(cut, p, false);
+            mesh.world.cut(p, cut, false);
+        });
+        mesh.world.run(QUIET);
+        assertEquals(200, order(mesh, 6, 5, "two").status());
+        mesh.leader().evacuate("b", false, a -> ok[1] = a);
+        mesh.world.run(QUIET);
+        assertTrue(ok[0] && ok[1]);
+        List<String> broken = new ArrayList<>();
+        mesh.world.afterEach = () -> mesh.wefts.forEach((p, w) -> {
+            if (!with.contains(p) && (w.shadow.epoch() < 6 || w.fleet.evacuated("b") || w.news.get("order").life() < 6)) {
+                broken.add(p + " has " + w.shadow.epoch() + ", evacuated " + w.fleet.evacuated("b"));
+            }
+        });
+        mesh.world.isolate(cut, false);
+        with.forEach(p -> mesh.world.isolate(p, false));
+        mesh.world.run(QUIET);
+        assertEquals(List.of(), broken);
+        mesh.wefts.forEach((p, w) -> assertTrue(w.shadow.epoch() == 6 && !w.fleet.evacuated("b"), p));
+    }
+
+    /** A document is asked for by number and stamp: who has another one of that number has nothing to give. */
+    @Test
+    void aDocumentIsOneByNumberAndStamp() {
+        SimMesh mesh = mesh(4, 3, 4);
+        String stamp = mesh.wefts.get(SimMesh.weftPeer(0)).shadow.real().stamp;
+        ObjectNode right = JsonNodeFactory.instance.objectNode().put("epoch", 5).put("stamp", stamp);
+        ObjectNode wrong = JsonNodeFactory.instance.objectNode().put("epoch", 5).put("stamp", document(5, "rival").stamp);
+        for (String peer : List.of(SimMesh.helmPeer(0), SimMesh.weftPeer(0))) {
+            assertTrue(ask(mesh, peer, "doc", right).path("doc").isTextual(), peer);
+            assertFalse(ask(mesh, peer, "doc", wrong) instanceof ObjectNode, peer);
+        }
+    }
+
+    /** Whoever answers with another document than the one asked for is not believed. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void aRivalDocumentIsNotTaken(long seed) {
+        SimMesh mesh = mesh(seed, 3, 4);
+        String away = SimMesh.weftPeer(1);
+        mesh.world.isolate(away, true);
+        assertEquals(200, order(mesh, 6, 5, "two").status());
+        mesh.world.run(1500);
+        int[] asked = new int[1];
+        Map<String, Wire.Service> all = new HashMap<>(mesh.helms);
+        mesh.wefts.forEach((p, w) -> all.put(p, w));
+        all.forEach((p, s) -> mesh.world.machine(p).serve((kind, m, answer) -> {
+            if (kind.equals("doc")) {
+                asked[0]++;
+                answer.accept(JsonNodeFactory.instance.objectNode().put("doc", document(6, "rival").packed));
+            } else {
+                s.serve(kind, m, answer);
+            }
+        }));
+        mesh.world.isolate(away, false);
+        mesh.world.run(2000);
+        assertTrue(asked[0] > 0);
+        assertEquals(5, mesh.wefts.get(away).shadow.epoch(), "no rival of the number wanted");
+        all.forEach((p, s) -> mesh.world.machine(p).serve(s));
+        mesh.world.run(3000);
+        assertNotNull(mesh.wefts.get(away).shadow.real().route("x.example", "/two/"));
+    }
+
+    /** With the core gone a side that starts serves what the others know and says that nobody could confirm it. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void aStartWithTheCoreGoneServesAndIsConfirmedWhenItIsBack(long seed) {
+        SimMesh mesh = mesh(seed, 3, 6);
+        List<String> all = List.copyOf(mesh.helms.keySet());
+        // Gone, or cut off: then nothing answers.
+        boolean killed = seed % 2 == 0;
+        all.forEach(h -> {
+            if (killed) {
+                mesh.killHelm(h, true);
+            } else {
+                mesh.world.isolate(h, true);
+            }
+        });
+        String peer = SimMesh.weftPeer(mesh.world.random.nextInt(6));
+        mesh.killWeft(peer);
+        mesh.world.run(QUIET);
+        mesh.startWeft(peer);
+        WeftCore w = mesh.wefts.get(peer);
+        for (int i = 0; i < 2 * QUIET && w.shadow.epoch() < 5; i += 10) {
+            mesh.world.run(10);
+        }
+        assertEquals(5, w.shadow.epoch());
+        mesh.world.run(QUIET / 10);
+        assertTrue(w.ready(), "ready as soon as it has what the others know");
+        assertFalse(status(mesh, peer).path("confirmed").asBoolean());
+        all.forEach(h -> {
+            if (killed) {
+                mesh.startHelm(h, false);
+            } else {
+                mesh.world.isolate(h, false);
+            }
+        });
+        mesh.world.run(QUIET * 2);
+        assertTrue(w.ready() && status(mesh, peer).path("confirmed").asBoolean());
+    }
+
+    /** A quiet fleet says nothing more for all this: nobody asks anew who is in touch, and no documents travel. */
+    @Test
+    void aQuietFleetHasNothingMoreToSay() {
+        SimMesh mesh = mesh(5, 3, 12);
+        mesh.world.kinds = new TreeMap<>();
+        mesh.world.run(20_000);
+        Set<String> kinds = mesh.world.kinds.keySet();
+        assertTrue(Set.of("append", "session", "digest", "news").containsAll(kinds), kinds.toString());
+    }
+
+    /** The word by which a holder asks for a higher fence is lost: it asks again, and reports go on. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void aLostWordForAHigherFenceIsSaidAgain(long seed) {
+        SimPlatform platform = new SimPlatform();
+        SimMesh mesh = SimMesh.metered(seed, 4, 4, platform);
+        mesh.world.run(30_000);
+        long fence = mesh.leader().ledger().duties().get("usage").fence();
+        int[] lost = new int[1];
+        mesh.world.keeper = (from, to, kind, m, deliver) -> kind.equals("raise") && lost[0]++ == 0;
+        platform.answer = () -> mesh.leader().ledger().duties().get("usage").fence() == fence ? 409 : null;
+        mesh.world.run(30_000);
+        assertTrue(platform.reports.stream().anyMatch(c -> c.code() == 409));
+        assertTrue(mesh.leader().ledger().duties().get("usage").fence() > fence, "a higher fence, " + lost[0] + " words for it");
+    }
 }
