Shadow and deposed leader: a candidate's end, a last phase and a rival touch only their own

Cause: a leader deposed while it waited for the end of a try gave out the tags of the next one; phase 4 of one commit took the tags of the next.

--- a/src/test/java/bramblespool/ShadowTest.java
+++ b/src/test/java/bramblespool/ShadowTest.java
@@ -109,4 +109,34 @@
         assertEquals(-1, named(null));
         assertEquals("behind", shadow.distribute(4, 7, config(7), 0));
     }
+
+    @Test
+    void theEndOfOneCandidateIsNotAnothers() throws Config.Invalid {
+        Config other = Config.compile(SimMesh.document(7, 0, "other"));
+        shadow.distribute(5, 7, other, 0);
+        shadow.revert(7, config(7).stamp);
+        shadow.revert(6, config(6).stamp);
+        assertTrue(shadow.tagPacket(7, other.stamp), "its tags are still there");
+    }
+
+    @Test
+    void theLastPhaseOfOneCommitLeavesTheTagsOfTheNext() {
+        shadow.distribute(5, 7, config(7), 0);
+        assertTrue(shadow.markBit(5, config(5).stamp));
+        assertTrue(shadow.tagPacket(7, config(7).stamp));
+        assertTrue(shadow.markBit(5, config(5).stamp));
+        assertEquals(config(5).tag(), shadow.mark());
+        assertTrue(shadow.swap(7, config(7).stamp));
+    }
+
+    /** In force is one document of a number; another one of it is neither confirmed nor marked. */
+    @Test
+    void aRivalOfTheNumberInForceIsNotConfirmed() throws Config.Invalid {
+        Config other = Config.compile(SimMesh.document(5, 0, "other"));
+        assertEquals("behind", shadow.distribute(4, 5, other, 0));
+        assertFalse(shadow.tagPacket(5, other.stamp));
+        assertFalse(shadow.swap(5, other.stamp));
+        assertFalse(shadow.markBit(5, other.stamp));
+        assertNull(shadow.distribute(4, 5, config(5), 0), "what is in force is confirmed");
+    }
 }
--- a/src/test/java/bramblespool/TermTest.java
+++ b/src/test/java/bramblespool/TermTest.java
@@ -593,4 +593,52 @@
         assertTrue(platform.reports.stream().anyMatch(c -> c.code() == 409));
         assertTrue(mesh.leader().ledger().duties().get("usage").fence() > fence, "a higher fence, " + lost[0] + " words for it");
     }
+
+    /** Who hears of a higher term while a commit of its own is under way says no further phase, in whichever one it was. */
+    @ParameterizedTest
+    @MethodSource("phases")
+    void whoLeadsNoMoreSaysNothingMore(int phase, long seed) {
+        SimMesh mesh = mesh(seed, 3, 6);
+        Random r = mesh.world.random;
+        String old = leader(mesh);
+        HelmCore deposed = mesh.leader();
+        mesh.world.isolate(SimMesh.weftPeer(r.nextInt(6)), phase == 0);
+        int[] said = new int[1];
+        List<String> broken = new ArrayList<>();
+        mesh.world.keeper = (from, to, kind, m, deliver) -> {
+            if (from.equals(old) && kind.equals("cell")) {
+                said[0] += m.path("phase").asInt() == phase ? 1 : 0;
+                if (!deposed.raft.leads()) {
+                    broken.add("phase " + m.path("phase").asInt() + " in term " + m.path("term").asLong());
+                }
+            }
+            return false;
+        };
+        mesh.order(SimMesh.change(7, 5, "two"), o -> { });
+        for (int i = 0; i < 2000 && said[0] == 0; i++) {
+            mesh.world.run(1);
+        }
+        assertTrue(said[0] > 0);
+        mesh.world.run(r.nextInt(phase == 0 ? 100 : 10));
+        deposed.raft.heardOf(deposed.raft.term() + 1);
+        assertFalse(deposed.raft.leads());
+        mesh.world.run(400);
+        assertEquals(List.of(), broken);
+    }
+
+    /** A word for a higher fence counts in the leader's own term only. */
+    @Test
+    void aWordForAHigherFenceCountsInItsTerm() {
+        SimMesh mesh = SimMesh.metered(1, 4, 4, new SimPlatform());
+        mesh.world.run(20_000);
+        long fence = mesh.leader().ledger().duties().get("usage").fence();
+        long term = mesh.leader().raft.term();
+        ObjectNode m = JsonNodeFactory.instance.objectNode().put("key", "usage").put("fence", fence);
+        assertEquals(term, ask(mesh, leader(mesh), "raise", m.put("term", term - 1)).path("term").asLong());
+        mesh.world.run(1000);
+        assertEquals(fence, mesh.leader().ledger().duties().get("usage").fence());
+        ask(mesh, leader(mesh), "raise", m.put("term", term));
+        mesh.world.run(1000);
+        assertTrue(mesh.leader().ledger().duties().get("usage").fence() > fence);
+    }
 }
