--- a/src/main/java/bramblespool/raft/Raft.java
+++ b/src/main/java/bramblespool/raft/Raft.java
@@ -53,6 +53,7 @@
     private String leader;
     private String leaderControl;
     private long leaderHeard;
+    private long leaderTerm;
     private boolean ready;
     private boolean stopped;
     private boolean leaving;
@@ -168,6 +169,11 @@
         return term;
     }
 
+    /** The highest term in which this member has led or heard of who leads. */
+    public long leaderTerm() {
+        return leaderTerm;
+    }
+
     public long applied() {
         return applied;
     }
@@ -298,6 +304,7 @@
         leader = self;
         leaderControl = control;
         leadingSince = clock.now();
+        leaderTerm = term;
         ready = false;
         replication.clear();
         log.say(Event.LEADING, "term", term);
@@ -453,6 +460,7 @@
         before = leader;
         leaderControl = m.path("control").asText();
         leaderHeard = clock.now();
+        leaderTerm = term;
         election.postpone();
         rights.heard(leader, m);
         if (kind.equals("snap")) {
@@ -462,6 +470,13 @@
         }
     }
 
+    /** Somebody has heard of a leader in that term: a leader in a lower one is none any more. */
+    public void heardOf(long newer) {
+        if (newer > term && role == Role.LEADER) {
+            stepDown(newer, "a higher term was heard of");
+        }
+    }
+
     /**
      * Asks to be taken in where nobody who leads feeds this member: it is new, or was replaced while it was away and cannot
      * know that.
