--- a/src/main/java/bramblespool/Status.java
+++ b/src/main/java/bramblespool/Status.java
@@ -23,6 +23,9 @@
 @Command(name = "status", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
         description = "Asks daemons at their peer addresses (first port of portRange) how they stand.")
 final class Status implements Callable<Integer> {
+    /** A follower that has not answered for longer than this is said to be silent. */
+    private static final long SILENT_MS = 1000;
+
     @Parameters(arity = "1..*", paramLabel = "ADDRESS", description = "for example 10.1.0.42:7380")
     private List<String> addresses;
 
@@ -89,6 +92,7 @@
         line(s, "voters", n.path("voters"));
         if (n.path("leads").asBoolean()) {
             line(s, "unconfirmed", n.path("unconfirmed"));
+            n.path("followers").forEach(f -> line(s, "follower " + f.path("member").asText(), progress(f)));
         }
         n.path("evacuations").fields().forEachRemaining(e -> {
             if (e.getValue().asBoolean()) {
@@ -111,6 +115,28 @@
         return s.toString();
     }
 
+    /** How far another helm is behind the leader, and why. */
+    private static String progress(JsonNode f) {
+        StringBuilder s = new StringBuilder();
+        long behind = f.path("behind").asLong();
+        s.append(behind == 0 ? "has all" : behind + " entries behind, at " + f.path("match").asLong());
+        if (f.path("size").asLong() > 0) {
+            s.append("; ").append(f.path("sent").asLong() / 1024).append(" of ").append(f.path("size").asLong() / 1024)
+                    .append(" kB under way");
+        }
+        if (f.path("snapshots").asLong() > 1) {
+            s.append("; ").append(f.path("snapshots").asLong()).append(" snapshots since it last had all: its link or disk is too slow"
+                    + " for the changes");
+        }
+        if (f.path("silentMs").asLong() > SILENT_MS) {
+            s.append("; silent for ").append(f.path("silentMs").asLong()).append(" ms");
+        }
+        if (f.path("differs").asBoolean()) {
+            s.append("; its state differs, it takes a snapshot anew");
+        }
+        return s.toString();
+    }
+
     private static void fleet(StringBuilder s, JsonNode sides, boolean all) {
         Map<String, int[]> zones = new TreeMap<>();
         Map<String, int[]> services = new TreeMap<>();
--- a/src/main/java/bramblespool/coordination/HelmCore.java
+++ b/src/main/java/bramblespool/coordination/HelmCore.java
@@ -650,6 +650,10 @@
                 .put("late", strain.late()).put("strained", strain.strained());
         ArrayNode v = n.putArray("voters");
         raft.voters().forEach(v::add);
+        ArrayNode f = n.putArray("followers");
+        raft.progress().forEach(p -> f.addObject().put("member", p.member()).put("match", p.match()).put("behind", p.behind())
+                .put("sent", p.sent()).put("size", p.size()).put("snapshots", p.snapshots()).put("silentMs", p.silentMs())
+                .put("differs", p.differs()));
         ArrayNode u = n.putArray("unconfirmed");
         commit.unconfirmed().forEach(u::add);
         ObjectNode ev = n.putObject("evacuations");
--- a/src/main/java/bramblespool/raft/Raft.java
+++ b/src/main/java/bramblespool/raft/Raft.java
@@ -24,8 +24,9 @@
 
     /** The incarnation of a disk that took part in the founding. */
     public static final String FOUNDER = "0";
-    /** Entries applied before the log is folded into a snapshot. */
+    /** Entries applied, or how many times the snapshot's size they are, before the log is folded into one at a checkpoint. */
     private static final int FOLD = 128;
+    private static final int FOLD_RATIO = 2;
 
     final String self;
     final String control;
@@ -41,7 +42,11 @@
     final Reads reads;
     final Rights rights;
     final Configuration configuration;
+    final Checkpoints checkpoints;
     private final int copies;
+    /** The state here is the group's, as far as is known; and the snapshot on the disk was whole at the start. */
+    private boolean fit = true;
+    private boolean whole = true;
 
     private long term;
     private String vote;
@@ -73,8 +78,17 @@
         this.vote = saved.vote();
         this.entries = new RaftLog(saved);
         this.applied = entries.base();
+        this.checkpoints = new Checkpoints(this);
         if (entries.snapshot().data() != null) {
-            machine.restore(RaftLog.parse(entries.snapshot().data()));
+            String state = Seal.open(entries.snapshot().data());
+            if (state == null) {
+                fit = false;
+                whole = false;
+                log.say(Event.SNAPSHOT_REFUSED, "index", entries.base(), "why", "digest, at the start");
+            } else {
+                machine.restore(RaftLog.parse(state));
+                checkpoints.add(entries.base(), Seal.brief(entries.snapshot().data()));
+            }
         }
         this.commit = Math.max(entries.base(), Math.min(saved.commit(), entries.last()));
         this.leaderHeard = clock.now() - times.election();
@@ -149,6 +163,20 @@
         return rights.standing();
     }
 
+    /** How far the others are, where this member leads. */
+    public List<Progress> progress() {
+        return role == Role.LEADER ? replication.progress() : List.of();
+    }
+
+    /** The state here is not what the group agreed on: this member does not lead before it has taken another's. */
+    void unfit() {
+        fit = false;
+    }
+
+    boolean fit() {
+        return fit;
+    }
+
     /** The voters as the newest entry that names them says, agreed or not. */
     public List<String> voters() {
         return entries.voters();
@@ -173,7 +201,8 @@
         long now = clock.now();
         if (role == Role.LEADER) {
             lead(now);
-        } else if (election.due(now) && now - leaderHeard >= times.election() && voters().contains(self) && healthy()) {
+        } else if (election.due(now) && now - leaderHeard >= times.election() && voters().contains(self) && healthy()
+                && fit) {
             election.campaign(true);
         }
     }
@@ -234,6 +263,7 @@
         leadingSince = clock.now();
         ready = false;
         replication.clear();
+        checkpoints.clear();
         log.say(Event.LEADING, "term", term);
         append(Ledger.entry("noop"), ok -> {
             if (ok && role == Role.LEADER) {
@@ -318,27 +348,50 @@
     }
 
     void apply() {
-        while (applied < Math.min(commit, entries.last())) {
+        while (whole && applied < Math.min(commit, entries.last())) {
             applied++;
             Vault.Entry e = entries.get(applied);
             machine.apply(e.index(), RaftLog.parse(e.data()));
+            if (applied % Checkpoints.EVERY == 0) {
+                checkpoint();
+            }
             Consumer<Boolean> w = waiting.remove(e.index());
             if (w != null) {
                 w.accept(true);
             }
         }
-        if (applied - entries.base() >= FOLD) {
-            entries.fold(applied, machine.snapshot().toString());
-            persist(0, List.of(), entries.snapshot(), () -> { });
-            log.say(Event.SNAPSHOT_TAKEN, "index", entries.base());
+    }
+
+    /** All members fold at the same indices, so that one can go on with a snapshot that another had begun to send. */
+    private void checkpoint() {
+        String data = Seal.seal(machine.snapshot().toString());
+        checkpoints.add(applied, Seal.brief(data));
+        if (applied - entries.base() >= FOLD || entries.letters(entries.base() + 1, applied) >= FOLD_RATIO * data.length()) {
+            fold(data);
         }
     }
 
-    void restore(Vault.Snapshot s) {
-        entries.replace(s);
-        commit = s.index();
+    /** Folds all that is applied, at any index. */
+    void fold() {
+        fold(Seal.seal(machine.snapshot().toString()));
+    }
+
+    private void fold(String data) {
+        entries.fold(applied, data);
+        persist(0, List.of(), entries.snapshot(), () -> { });
+        log.say(Event.SNAPSHOT_TAKEN, "index", entries.base());
+    }
+
+    /** Answers whether the entries behind the snapshot stay. */
+    boolean restore(Vault.Snapshot s, String state) {
+        boolean stay = entries.replace(s);
+        commit = Math.max(commit, s.index());
         applied = s.index();
-        machine.restore(RaftLog.parse(s.data()));
+        machine.restore(RaftLog.parse(state));
+        checkpoints.add(s.index(), Seal.brief(s.data()));
+        fit = true;
+        whole = true;
+        return stay;
     }
 
     // ---- peers
@@ -354,12 +407,16 @@
     /** Serves one of the group's messages; false where the kind is another's. */
     public boolean serve(String kind, JsonNode m, Consumer<ObjectNode> answer) {
         switch (kind) {
-            case "vote", "append", "snap" -> {
+            case "vote", "append", "part", "heartbeat" -> {
                 if (stopped || !self.equals(m.path("to").asText())) {
                     log.once(Event.MESSAGE_DROPPED, kind + m.path("to").asText(), "kind", kind, "cause", "not for this life");
                     answer.accept(null);
                 } else if (kind.equals("vote")) {
-                    election.voteAsked(m, answer);
+                    if (whole) {
+                        election.voteAsked(m, answer);
+                    } else {
+                        answer.accept(reply(false));
+                    }
                 } else {
                     fromLeader(kind, m, answer);
                 }
@@ -392,10 +449,34 @@
         leaderHeard = clock.now();
         election.postpone();
         rights.heard(leader, m);
-        if (kind.equals("snap")) {
-            replication.install(m, answer);
-        } else {
-            replication.appendAsked(m, answer);
+        if (m.path("differs").asBoolean() && fit) {
+            log.say(Event.STATE_DIFFERS, "member", self, "index", applied, "leader", leader);
+            fit = false;
+        }
+        Consumer<ObjectNode> told = out -> {
+            checkpoints.answer(m, out);
+            if (!fit) {
+                out.put("renew", entries.base());
+            }
+            answer.accept(out);
+        };
+        switch (kind) {
+            case "part" -> replication.partAsked(m, told);
+            case "heartbeat" -> {
+                // It says nothing of the disk; but whoever has none that works is not to be counted on.
+                if (healthy()) {
+                    told.accept(reply(true));
+                } else {
+                    answer.accept(null);
+                }
+            }
+            default -> {
+                if (whole) {
+                    replication.appendAsked(m, told);
+                } else {
+                    told.accept(reply(false).put("hint", 0));
+                }
+            }
         }
     }
 
--- a/src/main/java/bramblespool/state/Ledger.java
+++ b/src/main/java/bramblespool/state/Ledger.java
@@ -8,8 +8,12 @@
 
 /** What the helms have agreed on: configurations, the phase of the commit under way, evacuations. */
 public final class Ledger {
-    /** Digests of versions taken before, kept so that a repeat of one is known. */
-    private static final int TAKEN_KEPT = 512;
+    /**
+     * Digests of versions taken before, kept so that a repeat of one is never refused; more than a long day has changes. So
+     * many letters of each tell it from the others.
+     */
+    private static final int TAKEN_KEPT = 4096;
+    private static final int TAKEN_LETTERS = 32;
 
     public enum Phase { NONE, DECIDED, SWAPPED, MARKED }
 
@@ -73,7 +77,11 @@
     }
 
     public boolean taken(String digest) {
-        return taken.containsKey(digest);
+        return taken.containsKey(brief(digest));
+    }
+
+    private static String brief(String digest) {
+        return digest.substring(0, Math.min(TAKEN_LETTERS, digest.length()));
     }
 
     public static ObjectNode entry(String kind) {
@@ -120,7 +128,7 @@
         current = candidate;
         candidate = null;
         phase = Phase.DECIDED;
-        taken.put(current.digest, epoch);
+        taken.put(brief(current.digest), epoch);
         if (taken.size() > TAKEN_KEPT) {
             taken.remove(taken.keySet().iterator().next());
         }
@@ -154,7 +162,7 @@
         candidateBase = n.path("base").asLong();
         phase = Phase.valueOf(n.path("phase").asText());
         taken.clear();
-        n.path("taken").fields().forEachRemaining(f -> taken.put(f.getKey(), f.getValue().asLong()));
+        n.path("taken").fields().forEachRemaining(f -> taken.put(brief(f.getKey()), f.getValue().asLong()));
         evacuations.clear();
         n.path("evac").fields().forEachRemaining(f -> evacuations.put(f.getKey(),
                 new Evacuation(f.getValue().path("on").asBoolean(), f.getValue().path("index").asLong())));
