--- a/src/main/java/bramblespool/raft/Follower.java
+++ b/src/main/java/bramblespool/raft/Follower.java
@@ -3,9 +3,11 @@
 /** What a leader knows of another member. */
 final class Follower {
     /** Letters of entries or of a snapshot in one message: at first, at least and at most. */
-    static final int FIRST_ROOM = 64 << 10;
+    static final int FIRST_ROOM = 16 << 10;
     private static final int LEAST_ROOM = 2 << 10;
     private static final int MOST_ROOM = 256 << 10;
+    /** Ratio of a part's time limit to what answers usually take; it is a heartbeat's interval at least. */
+    private static final int PATIENCE = 4;
     /** How often the time limit of a message may be doubled. */
     private static final int MOST_DOUBLINGS = 3;
     /** Ratios to the heartbeat's interval: an answer within this makes room for more, and one later than that for less. */
@@ -39,6 +41,10 @@
     long renewFrom = -1;
     private int room = FIRST_ROOM;
     private int doublings;
+    /** Messages in turn that were not answered. */
+    private int missed;
+    /** How long answers to parts usually take, or 0 where none has come. */
+    private long usual;
 
     Follower(String id, long next, long now) {
         this.id = id;
@@ -50,9 +56,13 @@
         return room;
     }
 
-    /** The time limit for a message with so much in it. */
-    long limit(Times times, int load) {
-        return load == 0 ? times.call() : times.call() << doublings;
+    /** The time limit for a message with so much in it; a lost part is sent again sooner, for its answer waits for no disk. */
+    long limit(Times times, int load, boolean part) {
+        if (load == 0) {
+            return times.call();
+        }
+        return part && usual > 0 && doublings == 0 ? Math.max(times.heartbeat(), Math.min(times.call(), usual * PATIENCE))
+                : times.call() << doublings;
     }
 
     /** A message with so much in it was answered after so long: it is to cross the link in a part of a heartbeat's interval. */
@@ -61,6 +71,8 @@
             return;
         }
         doublings = Math.max(0, doublings - 1);
+        missed = 0;
+        usual = usual == 0 ? ms : (usual * 3 + ms) / 4;
         if (ms > times.heartbeat() * SLOW) {
             room = Math.max(LEAST_ROOM, room / 2);
         } else if (ms <= times.heartbeat() * QUICK && load >= room / 2) {
@@ -73,6 +85,11 @@
         if (load == 0) {
             return;
         }
+        usual *= 2;
+        if (missed++ == 0 && usual > 0) {
+            // Others of its size were answered: this one was lost.
+            return;
+        }
         if (room > LEAST_ROOM) {
             room = Math.max(LEAST_ROOM, room / 2);
         } else {
--- a/src/main/java/bramblespool/raft/Replication.java
+++ b/src/main/java/bramblespool/raft/Replication.java
@@ -75,7 +75,7 @@
         boolean silent = now - f.heard > raft.times.election() * 2;
         ObjectNode m = addressed(f);
         if (f.transfer != null) {
-            sendPart(f, m, silent ? 0 : f.room());
+            sendPart(f, m, silent || !f.transfer.asked ? 0 : f.room());
         } else {
             sendEntries(f, m, silent ? 0 : f.room());
         }
@@ -95,6 +95,10 @@
                 && (f.renewFrom >= 0 || f.next != f.transfer.index() || entries.termAt(f.next) != f.transfer.entry.term())) {
             f.transfer = null;
         }
+        if (f.transfer != null && f.transfer.snapshot != null
+                && (!f.transfer.asked || raft.clock.now() - f.heard > raft.times.absent())) {
+            f.transfer = null;
+        }
         if (f.transfer != null) {
             // One that is under way is finished, also when a newer one is there: else it might never end.
             return;
@@ -105,7 +109,6 @@
         if (f.renewFrom >= 0 || f.next <= entries.before()
                 || f.next <= entries.base() && entries.letters(f.next, entries.base()) > entries.snapshot().data().length()) {
             f.transfer = new Transfer(entries.snapshot());
-            f.snapshots++;
         } else if (f.next <= entries.last() && entries.get(f.next).data().length() > f.room()) {
             f.transfer = new Transfer(entries.get(f.next));
         }
@@ -154,6 +157,8 @@
                     f.next = Math.max(1, Math.min(f.next - 1, a.path("hint").asLong() + 1));
                 }
             } else if (a.has("have")) {
+                f.snapshots += t.asked ? 0 : 1;
+                t.asked = true;
                 t.offset = Math.max(0, Math.min(t.data.length(), a.path("have").asInt()));
             } else {
                 f.transfer = null;
@@ -174,7 +179,7 @@
         f.loaded = load > 0;
         f.busySince = sentAt;
         long inTerm = raft.term();
-        raft.wire.call(Raft.addressOf(f.id), kind, m, f.limit(raft.times, load), a -> {
+        raft.wire.call(Raft.addressOf(f.id), kind, m, f.limit(raft.times, load, kind.equals("part")), a -> {
             f.busy = false;
             if (a == null) {
                 f.missed(load);
--- a/src/main/java/bramblespool/raft/Transfer.java
+++ b/src/main/java/bramblespool/raft/Transfer.java
@@ -10,8 +10,9 @@
     /** What is the same for the same data, whoever sends it. */
     final String id;
     final String data;
-    /** How much of it the receiver is known to have. */
+    /** How much of it the receiver is known to have; of a snapshot it is asked first, for another leader may have begun it. */
     int offset;
+    boolean asked;
 
     Transfer(Vault.Snapshot snapshot) {
         this.snapshot = snapshot;
@@ -25,6 +26,7 @@
         this.entry = entry;
         this.data = entry.data();
         this.id = entry.index() + "." + entry.term();
+        this.asked = true;
     }
 
     /** The index that the receiver has on its disk once the last part is answered. */
