--- a/src/test/java/bramblespool/CatchUpTest.java
+++ b/src/test/java/bramblespool/CatchUpTest.java
@@ -191,6 +191,9 @@
         assertTrue(r.caughtUpMs >= 0 && r.caughtUpMs <= 6000, r.toString());
         assertEquals(with == With.LEADER_LOST ? 1 : 0, r.terms, "elections: " + r);
         assertTrue(r.kilobytes < 1000, r.toString());
+        if (with == With.NOTHING) {
+            assertEquals(1, r.mostSnapshots, "one snapshot, the newest: " + r);
+        }
     }
 
     @ParameterizedTest
@@ -211,6 +214,31 @@
         assertEquals(0, r.leaderlessMs, r.toString());
     }
 
+    /** The leader depends on a member to which the least part takes longer than an election: heartbeats go beside the parts. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void heartbeatsGoBesideAMessageThatTakesLong(long seed) {
+        begin(seed, 10);
+        mesh.killHelm(back, true);
+        changes(40, 10);
+        long term = mesh.leader().raft.term();
+        machine(back).linkRate = 0.04 * MEGABIT;
+        mesh.startHelm(back, false);
+        mesh.world.run(100);
+        mesh.world.kinds = new TreeMap<>();
+        mesh.killHelm(third, true);
+        int caught = 0;
+        for (int i = 0; i < 100; i++) {
+            mesh.world.run(100);
+            assertNotNull(mesh.leader(), "after " + i * 100 + " ms");
+            caught += mesh.helms.get(back).ledger().current().epoch() == epoch ? 1 : 0;
+        }
+        assertEquals(term, mesh.leader().raft.term());
+        assertTrue(caught > 0, "it catches up");
+        long[] beats = mesh.world.kinds.get("heartbeat");
+        assertTrue(beats != null && beats[0] > 5, "heartbeats");
+    }
+
     /** A link that carries less than is changed: the member follows by snapshots, and status says why it never has all. */
     @Test
     void aLinkTooSlowForTheChangesIsSaid() {
