The store is checked within its small cache

Cause: quick_check ran before the cache was bounded.

Change: the bound is the first thing that the check sets.

--- a/src/main/java/bramblespool/state/SqliteStore.java
+++ b/src/main/java/bramblespool/state/SqliteStore.java
@@ -151,12 +151,13 @@
     private static void durable(Statement s) throws SQLException {
         s.execute("PRAGMA journal_mode=WAL");
         s.execute("PRAGMA synchronous=FULL");
-        s.execute("PRAGMA cache_size=-512");
         s.execute("PRAGMA wal_autocheckpoint=" + CHECKPOINT_PAGES);
     }
 
     private void check() throws SQLException, IOException, Lost {
         try (Statement s = db.createStatement()) {
+            // Reads the database already, unlike what is set when it is connected.
+            s.execute("PRAGMA cache_size=-512");
             long application = number(s, "PRAGMA application_id");
             long format = number(s, "PRAGMA user_version");
             Set<String> tables = new TreeSet<>();
