Answers are matched to calls on every hop, and connections reused only when sound

A refusal between daemons named no request, so one that belonged to another was believed, and a mutating request sent again. A connection went back to the pool on a whole answer while its request's body was still to come; the next request hung behind it. When a connection was closed under a body in chunks, the library ended the chunks, and a cut body looked whole to the server, which ran it. A server's own 503, 429 or 408 without X-Not-Executed reached the client of a mutating request as a promise. An answer with two lengths, or an interim one, was passed on. Messages between daemons had no name at all.

Change: every answer of an inbound daemon names its try, and the outbound daemon believes none that does not; the same for messages (X-Spool-Call). A connection is kept only where the request was written to its end before the answer came. The channel is cut before the connection is closed. A promise that the server did not give becomes 502 on a route that may not be repeated.

--- a/src/main/java/bramblespool/role/Courier.java
+++ b/src/main/java/bramblespool/role/Courier.java
@@ -164,7 +164,7 @@
             if (keep > 0) {
                 idleMs = (long) (keep * 1000 * IDLE_SHARE);
             }
-            if (!parcel.attempt.equals(a.headers().getFirst(Names.ATTEMPT))) {
+            if (!Exchanges.answers(parcel.attempt, a.headers())) {
                 // Whatever it says, it says of another request, a refusal as much as a success.
                 call.spoil();
                 upstream.forget(gate.address());
--- a/src/main/java/bramblespool/role/Exchanges.java
+++ b/src/main/java/bramblespool/role/Exchanges.java
@@ -164,6 +164,11 @@
         return uri;
     }
 
+    /** Whether an answer, of whatever kind, names this one try and no other. */
+    static boolean answers(String attempt, HeaderMap headers) {
+        return headers.count(Names.ATTEMPT) == 1 && headers.getFirst(Names.ATTEMPT).equals(attempt);
+    }
+
     /** What is wrong with a request's framing or head, or null. */
     static String unsound(HttpServerExchange x) {
         var h = x.getRequestHeaders();
--- a/src/main/java/bramblespool/role/Inbound.java
+++ b/src/main/java/bramblespool/role/Inbound.java
@@ -103,11 +103,16 @@
         }
         Stream.read(x.getRequestChannel(), buffers, Courier.BUFFERED, body -> {
             Courier.Parcel p = new Courier.Parcel(x.getRequestMethod(), Exchanges.target(x), x.getRequestHeaders(),
-                    body, x.getRequestHeaders().getFirst(Names.ATTEMPT), caller(x), deadline);
+                    body, attempt(x), caller(x), deadline);
             courier.serve(way.gate, p, way.route, way.rank, (r, ending) -> answer(x, service, r, ending));
         }, e -> x.endExchange());
     }
 
+    /** Whatever is answered names the try that it is an answer to: a refusal of another one must not be believed. */
+    private static String attempt(HttpServerExchange x) {
+        return x.getRequestHeaders().getFirst(Names.ATTEMPT);
+    }
+
     private static String caller(HttpServerExchange x) {
         String c = x.getRequestHeaders().getFirst(Names.CALLER);
         return c == null ? "" : c;
@@ -120,15 +125,15 @@
         } else if (r.verdict() == Verdict.NEVER_RAN) {
             refuse(x, service, r.why(), r.retryMs(), r.arrived());
         } else {
-            x.getResponseHeaders().put(Names.VERDICT, r.verdict().code).put(Names.LOAD, gates.load(service))
-                    .put(Names.WHY, r.why().replaceAll("[^ -~]", "?"));
+            x.getResponseHeaders().put(Names.ATTEMPT, attempt(x)).put(Names.VERDICT, r.verdict().code)
+                    .put(Names.LOAD, gates.load(service)).put(Names.WHY, r.why().replaceAll("[^ -~]", "?"));
             Exchanges.say(x, 502, "");
         }
     }
 
     private void refuse(HttpServerExchange x, String service, String why, long retryMs, boolean arrived) {
-        x.getResponseHeaders().put(Names.VERDICT, Verdict.NEVER_RAN.code).put(Names.LOAD, gates.load(service))
-                .put(Names.WHY, arrived ? why + "!" : why);
+        x.getResponseHeaders().put(Names.ATTEMPT, attempt(x)).put(Names.VERDICT, Verdict.NEVER_RAN.code)
+                .put(Names.LOAD, gates.load(service)).put(Names.WHY, arrived ? why + "!" : why);
         Exchanges.comeBack(x, retryMs, "");
     }
 }
--- a/src/main/java/bramblespool/role/Outbound.java
+++ b/src/main/java/bramblespool/role/Outbound.java
@@ -34,6 +34,8 @@
     private static final long LEAST_MS = 15;
     private static final long RETRY_MS = 60;
     private static final int MOST_KEY = 255;
+    /** Statuses by which a client is promised that its request has not run. */
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
     /** A request may wait for this part of its aim, and of the time it has, to be admitted. */
     private static final int ADMIT_PART = 2;
 
@@ -334,6 +336,13 @@
             if (r.arrived()) {
                 arrivals++;
             }
+            if (r.verdict() == Verdict.ANSWERED && !route.idempotent() && PROMISES.contains(r.answer().code())) {
+                // The server did not say that it has not run, and passed on its status would.
+                if (ending != null) {
+                    ending.ended(false);
+                }
+                r = Courier.Result.mayHaveRun("a promise that the server did not give");
+            }
             if (r.verdict() == Verdict.ANSWERED) {
                 over = true;
                 end.cancel();
@@ -454,17 +463,19 @@
 
             @Override
             public void answer(Upstream.Answer a) {
+                if (!Exchanges.answers(parcel.attempt(), a.headers())) {
+                    // Whatever it says, it says of another request, a refusal as much as a success.
+                    call.spoil();
+                    upstream.forget(door.at.inbound);
+                    finish(Courier.Result.mayHaveRun("an answer to another request"), null);
+                    return;
+                }
                 String load = a.headers().getFirst(Names.LOAD);
                 if (load != null && load.length() < 6) {
                     fleet.report(door, Integer.parseInt(load));
                 }
                 Verdict v = Verdict.of(a.headers().getFirst(Names.VERDICT));
                 if (v == Verdict.ANSWERED) {
-                    if (!parcel.attempt().equals(a.headers().getFirst(Names.ATTEMPT))) {
-                        call.spoil();
-                        finish(Courier.Result.mayHaveRun("an answer to another request"), null);
-                        return;
-                    }
                     finish(new Courier.Result(v, a, null, 0, true),
                             a.body().whole() ? null : whole -> call.finished(whole));
                     return;
--- a/src/main/java/bramblespool/transport/HttpWire.java
+++ b/src/main/java/bramblespool/transport/HttpWire.java
@@ -9,6 +9,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
@@ -18,19 +19,22 @@
 /** Peer messages as JSON over HTTP. */
 public final class HttpWire implements Wire, HttpHandler {
     private static final String PATH = "/peer/";
+    /** Names the call, and the answer the call that it is to. */
+    private static final HttpString CALL = new HttpString("X-Spool-Call");
     private static final ObjectMapper JSON = new ObjectMapper();
     /** A configuration travels whole in a message; larger ones than this are refused when the operator sends them. */
     public static final int LARGEST = 16 << 20;
 
-    private final Loop loop;
+    private final Clock clock;
     private final Upstream upstream;
     private final ByteBufferPool buffers;
     private final Log log;
     private final long idleMs;
     private Service service;
+    private long calls;
 
-    public HttpWire(Loop loop, Upstream upstream, ByteBufferPool buffers, long idleMs, Log log) {
-        this.loop = loop;
+    public HttpWire(Clock clock, Upstream upstream, ByteBufferPool buffers, long idleMs, Log log) {
+        this.clock = clock;
         this.upstream = upstream;
         this.buffers = buffers;
         this.idleMs = idleMs;
@@ -52,6 +56,8 @@
         HeaderMap headers = new HeaderMap();
         headers.put(Headers.HOST, address);
         headers.put(Headers.CONTENT_LENGTH, bytes.length);
+        String name = Long.toString(++calls, Character.MAX_RADIX);
+        headers.put(CALL, name);
         Clock.Timer[] timer = new Clock.Timer[1];
         Upstream.Call[] call = new Upstream.Call[1];
         boolean[] over = new boolean[1];
@@ -64,7 +70,7 @@
                 answer.accept(node);
             }
         };
-        timer[0] = loop.after(timeoutMs, () -> {
+        timer[0] = clock.after(timeoutMs, () -> {
             if (call[0] != null) {
                 call[0].drop();
             }
@@ -77,7 +83,11 @@
                 new Upstream.Receiver() {
                     @Override
                     public void answer(Upstream.Answer a) {
-                        once.accept(a.code() == 200 ? parse(a.body().head(), kind) : null);
+                        boolean own = a.headers().count(CALL) == 1 && name.equals(a.headers().getFirst(CALL));
+                        if (!own || !a.body().whole()) {
+                            call[0].spoil();
+                        }
+                        once.accept(own && a.code() == 200 && a.body().whole() ? parse(a.body().head(), kind) : null);
                     }
 
                     @Override
@@ -108,6 +118,10 @@
             return;
         }
         String kind = path.substring(PATH.length());
+        String name = x.getRequestHeaders().getFirst(CALL);
+        if (name != null) {
+            x.getResponseHeaders().put(CALL, name);
+        }
         x.dispatch(SameThreadExecutor.INSTANCE, () -> Stream.read(x.getRequestChannel(), buffers, LARGEST, body -> {
             JsonNode node = body.whole() ? parse(body.head(), kind) : null;
             if (node == null) {
--- a/src/main/java/bramblespool/transport/Stream.java
+++ b/src/main/java/bramblespool/transport/Stream.java
@@ -95,10 +95,12 @@
         }
     }
 
-    /** Writes the beginning, then the rest as it comes, then ends the channel. */
-    public static void write(Body body, StreamSinkChannel sink, ByteBufferPool pool, Runnable done,
+    /** Writes the beginning, then the rest as it comes, then ends the channel. What it returns stops it without a word. */
+    public static Runnable write(Body body, StreamSinkChannel sink, ByteBufferPool pool, Runnable done,
             Consumer<IOException> failed) {
-        new Writer(body, sink, pool, done, failed).run();
+        Writer w = new Writer(body, sink, pool, done, failed);
+        w.run();
+        return w::stop;
     }
 
     private static final class Writer {
@@ -185,12 +187,16 @@
             source.resumeReads();
         }
 
-        private void finish(IOException e) {
+        private void stop() {
             over = true;
             if (pooled != null) {
                 pooled.close();
                 pooled = null;
             }
+        }
+
+        private void finish(IOException e) {
+            stop();
             if (e == null) {
                 done.run();
             } else {
--- a/src/main/java/bramblespool/transport/Upstream.java
+++ b/src/main/java/bramblespool/transport/Upstream.java
@@ -19,6 +19,7 @@
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.channels.StreamSinkChannel;
 
 /** Sends requests over pooled connections and reports how far each one came. */
 public final class Upstream {
@@ -78,6 +79,10 @@
         private ClientConnection connection;
         private boolean over;
         private boolean reusable;
+        /** The request has been written to its end. */
+        private boolean written;
+        private Runnable writer = () -> { };
+        private StreamSinkChannel sink;
         private Clock.Timer patience;
 
         private Call(String address, Manner manner, Request request, Receiver receiver) {
@@ -167,8 +172,11 @@
                 }
             });
             if (request.body.head().length > 0 || !request.body.whole()) {
-                Stream.write(request.body, x.getRequestChannel(), buffers, () -> { },
+                sink = x.getRequestChannel();
+                writer = Stream.write(request.body, sink, buffers, () -> written = true,
                         e -> fail(Reach.SENT, "body not sent: " + e.getMessage()));
+            } else {
+                written = true;
             }
         }
 
@@ -179,14 +187,14 @@
             HeaderMap headers = x.getResponse().getResponseHeaders();
             int code = x.getResponse().getResponseCode();
             boolean bodiless = code == 204 || code == 304 || request.method.equalToString("HEAD");
-            if (!bodiless && !headers.contains(Headers.CONTENT_LENGTH)
-                    && !"chunked".equalsIgnoreCase(headers.getLast(Headers.TRANSFER_ENCODING))) {
-                // Without a length its end cannot be told from a broken connection.
-                fail(Reach.SENT, "answer without a length");
+            if (code < 200 || !framed(headers, bodiless)) {
+                // Where its end is in doubt, neither it nor what comes after it can be told from another's.
+                fail(Reach.SENT, "answer without a clear end");
                 return;
             }
             String connectionWords = headers.getFirst(Headers.CONNECTION);
-            reusable = connectionWords == null || !connectionWords.toLowerCase(java.util.Locale.ROOT).contains("close");
+            // An answer to a part of a request: the rest of it, still to come, would stand before the next request.
+            reusable = written && (connectionWords == null || !connectionWords.toLowerCase(java.util.Locale.ROOT).contains("close"));
             Stream.read(x.getResponseChannel(), buffers, manner.buffered, body -> {
                 if (over) {
                     return;
@@ -203,6 +211,17 @@
             }, e -> fail(Reach.SENT, "answer broken off: " + e.getMessage()));
         }
 
+        /** Whether the answer says, in one way only, where it ends. */
+        private boolean framed(HeaderMap headers, boolean bodiless) {
+            int lengths = headers.count(Headers.CONTENT_LENGTH);
+            int codings = headers.count(Headers.TRANSFER_ENCODING);
+            if (lengths + codings != 1) {
+                return bodiless && lengths + codings == 0;
+            }
+            return lengths == 1 ? headers.getFirst(Headers.CONTENT_LENGTH).chars().allMatch(c -> c >= '0' && c <= '9')
+                    : headers.getFirst(Headers.TRANSFER_ENCODING).equalsIgnoreCase("chunked");
+        }
+
         /** The answer was not to this request: whatever comes next on this connection is not to be trusted either. */
         public void spoil() {
             reusable = false;
@@ -227,6 +246,11 @@
                 return;
             }
             if (!reuse) {
+                writer.run();
+                if (!written && sink != null) {
+                    // The connection's own close would end the chunks first, and a part of a body would look whole.
+                    IoUtils.safeClose(sink);
+                }
                 IoUtils.safeClose(c);
                 return;
             }
--- /dev/null
+++ b/src/test/java/bramblespool/role/Scene.java
@@ -0,0 +1,293 @@
+package bramblespool.role;
+
+import bramblespool.coordination.Fleet;
+import bramblespool.coordination.News;
+import bramblespool.coordination.WeftCore;
+import bramblespool.protocol.Beat;
+import bramblespool.sim.SimMesh;
+import bramblespool.state.Config;
+import bramblespool.state.Log;
+import bramblespool.state.Settings;
+import bramblespool.transport.Clock;
+import bramblespool.transport.HttpWire;
+import bramblespool.transport.Loop;
+import bramblespool.transport.Ports;
+import bramblespool.transport.Upstream;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * Daemons of the data plane on real sockets, in whose clocks time passes only when the test says so. One takes clients'
+ * requests; its service {@code desk} is behind two inbound daemons with a stand-in for a server each, and {@code shop}
+ * behind two stand-ins for inbound daemons.
+ */
+final class Scene implements AutoCloseable {
+    /** Whatever takes so long hangs; nothing is expected to come near it. */
+    static final int GUARD_S = Integer.getInteger("guard", 120);
+    /** A loopback address of this process alone, so that nobody else takes a port between two listeners. */
+    static final String IP = "127." + (1 + ProcessHandle.current().pid() / 62500 % 250) + "."
+            + (ProcessHandle.current().pid() / 250 % 250) + "." + (1 + ProcessHandle.current().pid() % 250);
+    private static final long NEVER_MS = 1_000_000_000;
+    private static final Loop LOOP = loop();
+
+    private static Loop loop() {
+        try {
+            return new Loop(Log.silent());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Stands still until it is told to go on. */
+    static final class HeldClock implements Clock {
+        private record Due(long at, long order, Runnable task) {
+        }
+
+        private final PriorityQueue<Due> waiting = new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+        private final SplittableRandom chance = new SplittableRandom(7);
+        private long now = 1_000_000;
+        private long orders;
+
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public long wall() {
+            return now;
+        }
+
+        @Override
+        public double chance() {
+            return chance.nextDouble();
+        }
+
+        @Override
+        public Timer after(long ms, Runnable task) {
+            if (ms <= 0) {
+                return LOOP.after(0, task);
+            }
+            Due d = new Due(now + ms, ++orders, task);
+            waiting.add(d);
+            return () -> waiting.remove(d);
+        }
+
+        void advance(long ms) {
+            on(() -> {
+                long until = now + ms;
+                while (!waiting.isEmpty() && waiting.peek().at <= until) {
+                    Due d = waiting.poll();
+                    now = d.at;
+                    d.task.run();
+                }
+                now = until;
+                return null;
+            });
+        }
+    }
+
+    final HeldClock clock = new HeldClock();
+    final StandIn.Book book = new StandIn.Book();
+    final HttpWire wire;
+    private final List<Ports> ports = new ArrayList<>();
+    private final List<StandIn> ends = new ArrayList<>();
+    private final String outbound;
+    /** Where calls between daemons come in at a real one. */
+    final String inbound;
+    /** The end of a peer message. */
+    final String peer;
+
+    Scene() throws Exception {
+        Config config = Config.compile(SimMesh.document(3, 0, "x").replace(
+                "[\"r\",\"x.example\",\"/x/\",\"idempotent\",\"1500ms\",\"600ms\",1,null,2,\"desk\"]",
+                route("SERVER", "mutating", "desk") + "," + route("SERVER", "idempotent", "desk") + ","
+                + route("PEER", "mutating", "shop") + "," + route("PEER", "idempotent", "shop"))
+                .replace("[\"desk\",\"/health\"", "[\"shop\",\"/health\",100,\"h1\",false,\"3s\",13.0],[\"desk\",\"/health\""));
+        List<ObjectNode> doors = new ArrayList<>();
+        String first = null;
+        for (int i = 0; i < 2; i++) {
+            String at = free();
+            first = first == null ? at : first;
+            String server = end(StandIn.Hop.SERVER);
+            WeftCore core = core("in-" + i, "desk", server, config);
+            Ports p = ports();
+            on(() -> {
+                core.beat(new Beat("i-" + at, "desk", server, "z", 8, false, 0, 1));
+                Upstream upstream = new Upstream(LOOP, p.buffers());
+                Inbound in = new Inbound(clock, core.shadow, core.gates, new Courier(clock, upstream, null, NEVER_MS, NEVER_MS),
+                        p.buffers(), "desk", (from, mark) -> { }, () -> false);
+                return p.listen(at, in, Ports.bounds(1 << 20, -1, (int) NEVER_MS, (int) NEVER_MS));
+            });
+            doors.add(door(at, "desk"));
+            doors.add(door(end(StandIn.Hop.PEER), "shop"));
+        }
+        inbound = first;
+        peer = end(StandIn.Hop.MESSAGE);
+        outbound = free();
+        WeftCore core = core("out", "own", "127.0.0.1:1", config);
+        Ports p = ports();
+        wire = on(() -> {
+            for (ObjectNode d : doors) {
+                core.fleet.hear(new News.Item(Fleet.SIDE + d.path("inbound").asText(), 1, 1, d));
+            }
+            Upstream upstream = new Upstream(LOOP, p.buffers());
+            p.listen(outbound, new Outbound(clock, core, new Courier(clock, upstream, null, NEVER_MS, NEVER_MS), upstream,
+                    p.buffers(), "out", "own", new Upstream.Manner(NEVER_MS, NEVER_MS, Courier.BUFFERED), new Outbound.Doubts() {
+                        @Override
+                        public void silent(Fleet.Peer peer) {
+                        }
+
+                        @Override
+                        public void behind() {
+                        }
+                    }, Log.silent()), Ports.bounds(1 << 20, 100 << 20, (int) NEVER_MS, (int) NEVER_MS));
+            return new HttpWire(clock, upstream, p.buffers(), NEVER_MS, Log.silent());
+        });
+    }
+
+    private static String route(String hop, String routeClass, String target) {
+        return "[\"" + hop + routeClass + "\",\"x.example\",\"/" + hop + "/" + routeClass + "/\",\"" + routeClass
+                + "\",\"1500ms\",null,1,null,2,\"" + target + "\"]";
+    }
+
+    private static ObjectNode door(String inbound, String target) {
+        ObjectNode b = JsonNodeFactory.instance.objectNode().put("peer", inbound).put("inbound", inbound).put("zone", "z");
+        b.putArray("doors").addObject().put("target", target).put("servers", "i-" + inbound).put("capacity", 8).put("open", true);
+        return b;
+    }
+
+    private String end(StandIn.Hop hop) throws IOException {
+        StandIn s = new StandIn(hop, book);
+        ends.add(s);
+        return s.address();
+    }
+
+    private Ports ports() {
+        Ports p = new Ports(LOOP, Log.silent());
+        ports.add(p);
+        return p;
+    }
+
+    private static String free() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(IP))) {
+            return IP + ":" + s.getLocalPort();
+        }
+    }
+
+    private WeftCore core(String node, String target, String app, Config config) throws Settings.Unfit {
+        Settings s = Settings.parse("""
+                node = "%1$s"
+                machineClass = "sidecar"
+                ip = "%2$s"
+                zone = "z"
+                portRange = [7000, 7010]
+                seedPeers = []
+                appAddr = "%3$s"
+                target = "%4$s"
+                beat = "1000000s"
+                [listeners]
+                control = "%2$s:1"
+                inbound = "%2$s:2"
+                outbound = "%2$s:3"
+                ready = "%2$s:4"
+                [limits]
+                memoryMb = 0
+                %5$s                """.formatted(node, IP, app, target, SimMesh.BOUNDS), "test");
+        return on(() -> {
+            WeftCore core = new WeftCore(s, clock, (to, kind, body, within, answer) -> answer.accept(null), Log.silent());
+            core.shadow.adopt(config, true);
+            return core;
+        });
+    }
+
+    /** Does it on the loop, and waits for it. */
+    static <T> T on(Callable<T> work) {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        LOOP.post(() -> {
+            try {
+                done.complete(work.call());
+            } catch (Exception | AssertionError e) {
+                done.completeExceptionally(e);
+            }
+        });
+        try {
+            return done.get(GUARD_S, TimeUnit.SECONDS);
+        } catch (InterruptedException | ExecutionException | TimeoutException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** An answer as a client sees it; status 0: the connection ended before there was a whole one. */
+    record Reply(int status, String head, String body) {
+        static Reply read(Socket s) throws IOException {
+            try {
+                String head = StandIn.head(s.getInputStream());
+                return new Reply(Integer.parseInt(head.substring(9, 12)), head, StandIn.body(s.getInputStream(), head));
+            } catch (EOFException e) {
+                return new Reply(0, "", "");
+            }
+        }
+    }
+
+    Socket connect(String address) throws IOException {
+        int colon = address.indexOf(':');
+        Socket s = new Socket(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        s.setSoTimeout(GUARD_S * 1000);
+        return s;
+    }
+
+    static void write(Socket s, String what) throws IOException {
+        s.getOutputStream().write(what.getBytes(StandardCharsets.ISO_8859_1));
+        s.getOutputStream().flush();
+    }
+
+    static String request(String id, String path, String more) {
+        return "POST " + path + " HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: " + id + "\r\nX-Deadline-Ms: 1500\r\n" + more + "\r\n";
+    }
+
+    /** Sends a small request on a connection of its own; what comes of it. */
+    CompletableFuture<Reply> send(String id, String path) {
+        return CompletableFuture.supplyAsync(() -> {
+            try (Socket s = connect(outbound)) {
+                write(s, request(id, path, "Content-Length: 4\r\n") + "body");
+                return Reply.read(s);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    /** A connection to the daemon that takes clients' requests. */
+    Socket client() throws IOException {
+        return connect(outbound);
+    }
+
+    @Override
+    public void close() throws IOException {
+        book.go.countDown();
+        for (StandIn s : ends) {
+            s.close();
+        }
+        on(() -> {
+            ports.forEach(Ports::close);
+            return null;
+        });
+    }
+}
