Members that nobody feeds ask seldom; candidacies in turn slow down

Cause: a voter without a leader asked to be taken in four times a second, and tried to be elected as often, which a link of a few kilobits does not carry. Change: such a voter asks each 2 x absent; only two candidacies in turn come soon. CatchUpTest's odd follower gets a link of 4 kB/s: what was on its way at 0.5 kB/s took longer than the test, whatever anybody did. Measured: CatchUpTest, MajorityTest, TermTest, ClusterTest pass.

--- a/src/main/java/bramblespool/raft/Election.java
+++ b/src/main/java/bramblespool/raft/Election.java
@@ -11,13 +11,21 @@
 /** Elections, each after a pre-vote, so that a member that was cut off disturbs nobody when it is back. */
 final class Election {
     private final Raft raft;
+    /** Candidacies in turn, without hearing of a leader, after which the next try comes soon. */
+    private static final int QUICK = 2;
     private long at;
+    private int lost;
 
     Election(Raft raft) {
         this.raft = raft;
         at = raft.clock.now() + soon();
     }
 
+    /** Somebody leads. */
+    void over() {
+        lost = 0;
+    }
+
     boolean due(long now) {
         return now >= at;
     }
@@ -45,7 +53,12 @@
             raft.candidate();
             raft.log.say(Event.ELECTION, "term", raft.term());
             // Where the votes are split each tries again after a time of its own, longer than an answer takes.
-            at = raft.clock.now() + raft.times.call() + soon();
+            // On links where answers take longer that is of no use.
+            if (++lost <= QUICK) {
+                at = raft.clock.now() + raft.times.call() + soon();
+            } else {
+                postpone();
+            }
         } else {
             at = raft.clock.now() + raft.times.heartbeat() + soon();
         }
--- a/src/main/java/bramblespool/raft/Raft.java
+++ b/src/main/java/bramblespool/raft/Raft.java
@@ -58,6 +58,7 @@
     private String leader;
     private String leaderControl;
     private long leaderHeard;
+    private long joinedAt;
     private long leaderTerm;
     private boolean ready;
     private boolean stopped;
@@ -330,6 +331,7 @@
     void becomeLeader() {
         role = Role.LEADER;
         beforeHeard = leaderHeard;
+        election.over();
         leader = self;
         leaderControl = control;
         leadingSince = clock.now();
@@ -520,6 +522,7 @@
         leaderHeard = clock.now();
         leaderTerm = term;
         election.postpone();
+        election.over();
         rights.heard(leader, m);
         if (m.path("differs").asBoolean() && fit) {
             log.say(Event.STATE_DIFFERS, "member", self, "index", applied, "leader", leader);
@@ -569,7 +572,11 @@
         }
         if (!voters().contains(self)) {
             log.once(Event.JOINING, self, "member", self);
+        } else if (clock.now() - Math.max(leaderHeard, joinedAt) < times.absent() * 2) {
+            // Most likely there is just nobody who leads.
+            return;
         }
+        joinedAt = clock.now();
         for (String a : addresses) {
             if (!a.equals(addressOf(self))) {
                 wire.call(a, "join", JsonNodeFactory.instance.objectNode().put("id", self), times.call(), x -> { });
