--- a/src/test/java/bramblespool/TermTest.java
+++ b/src/test/java/bramblespool/TermTest.java
@@ -322,11 +322,17 @@
                 .put("new", 6).put("within", 200).put("doc", document(6, "late").packed);
         ArrayNode wefts = m.putArray("wefts");
         mesh.wefts.forEach((p, w) -> wefts.add(status(mesh, p).path("node").asText()));
+        int[] handed = new int[1];
+        mesh.world.keeper = (from, to, kind, x, deliver) -> {
+            handed[0] += kind.equals("phase") ? 1 : 0;
+            return false;
+        };
         for (String h : mesh.helms.keySet()) {
             JsonNode a = ask(mesh, h, "cell", m);
             assertEquals(now, a.path("term").asLong(), h);
             assertTrue(a.path("ok").isEmpty(), h);
         }
+        assertEquals(0, handed[0], "cells hand it to nobody");
         mesh.wefts.forEach((p, w) -> {
             JsonNode a = ask(mesh, p, "phase", m);
             assertFalse(a.path("ok").asBoolean(), p);
