--- /dev/null
+++ b/src/test/java/bramblespool/model/Invariants.java
@@ -0,0 +1,254 @@
+package bramblespool.model;
+
+import bramblespool.coordination.HelmCore;
+import bramblespool.coordination.WeftCore;
+import bramblespool.sim.SimMesh;
+import bramblespool.sim.SimWorld;
+import bramblespool.state.Config;
+import bramblespool.state.Ledger;
+import bramblespool.state.Vault;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What must hold after every event, seen from outside: in messages, on disks, in ledgers and in answers. */
+final class Invariants implements SimWorld.Tap {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private record Vote(long term, String on) {
+    }
+
+    private record Place(long index, long term) {
+    }
+
+    /** What an entry is, and the term of the one before it. */
+    private record Content(String data, long before) {
+    }
+
+    private record Acked(String what, long index) {
+    }
+
+    private final SimMesh mesh;
+    private final History history;
+    private final int copies;
+    private final Map<Long, String> leaders = new HashMap<>();
+    private final Map<String, Vote> votes = new HashMap<>();
+    private final Map<Place, Content> entries = new HashMap<>();
+    private final Map<Long, Vault.Entry> agreed = new HashMap<>();
+    private final Map<Long, String> states = new HashMap<>();
+    private final Map<HelmCore, Long> applied = new IdentityHashMap<>();
+    private final Map<HelmCore, Long> led = new IdentityHashMap<>();
+    private final Map<WeftCore, Long> epochs = new IdentityHashMap<>();
+    private final Map<Long, String> stamps = new HashMap<>();
+    private final Map<String, Acked> zones = new LinkedHashMap<>();
+    private long highestAcked;
+    private long highestTerm;
+
+    Invariants(SimMesh mesh, History history, int losses) {
+        this.mesh = mesh;
+        this.history = history;
+        this.copies = losses + 1;
+    }
+
+    // ---- messages
+
+    @Override
+    public void sent(SimWorld.Machine from, String kind, ObjectNode body) {
+        if (kind.equals("append") || kind.equals("snap")) {
+            leads(body.path("term").asLong(), body.path("from").asText());
+        }
+    }
+
+    private void leads(long term, String member) {
+        highestTerm = Math.max(highestTerm, term);
+        String other = leaders.putIfAbsent(term, member);
+        if (other != null && !other.equals(member)) {
+            throw new Broken("OneLeaderATerm", other + " and " + member + " lead in term " + term);
+        }
+    }
+
+    // ---- disks
+
+    @Override
+    public void wrote(SimWorld.Machine at, Vault.Change c, Vault.Saved before, Vault.Saved after) {
+        String member = at.peer + "#" + after.incarnation();
+        if (c.term() < before.term()) {
+            throw new Broken("TermsOnlyRise", member + " goes from term " + before.term() + " to " + c.term());
+        }
+        if (c.vote() != null) {
+            Vote v = votes.get(member);
+            if (v != null && v.term == c.term() && !v.on.equals(c.vote())) {
+                throw new Broken("OneVoteATerm", member + " votes for " + v.on + " and " + c.vote() + " in term " + c.term());
+            }
+            votes.put(member, new Vote(c.term(), c.vote()));
+        }
+        if (c.truncateFrom() > 0 && c.truncateFrom() <= before.commit() && c.snapshot() == null) {
+            throw new Broken("AgreedStays", member + " drops what it held as agreed, from " + c.truncateFrom());
+        }
+        if (c.snapshot() != null && before.snapshot() != null && c.snapshot().index() < before.snapshot().index()) {
+            throw new Broken("AgreedStays", member + " takes an older snapshot");
+        }
+        if (c.snapshot() != null) {
+            state(c.snapshot().index(), c.snapshot().data(), member);
+        }
+        match(member, c, after);
+    }
+
+    private void match(String member, Vault.Change c, Vault.Saved after) {
+        List<Vault.Entry> log = after.entries();
+        for (int i = log.size() - 1; i >= 0; i--) {
+            Vault.Entry e = log.get(i);
+            Vault.Entry one = i > 0 ? log.get(i - 1) : null;
+            if (one != null && one.index() != e.index() - 1) {
+                throw new Broken("LogsMatch", member + " has a gap before " + e.index());
+            }
+            if (i < log.size() - c.append().size()) {
+                break;
+            }
+            long termBefore = one != null ? one.term() : after.snapshot() != null ? after.snapshot().term() : -1;
+            Content content = new Content(e.data(), termBefore);
+            Content other = entries.putIfAbsent(new Place(e.index(), e.term()), content);
+            if (other != null && (!other.data.equals(content.data) || other.before >= 0 && termBefore >= 0 && other.before != termBefore)) {
+                throw new Broken("LogsMatch", member + " differs at " + e.index() + " of term " + e.term());
+            }
+        }
+        for (int i = log.size() - 1; i >= 0; i--) {
+            Vault.Entry e = log.get(i);
+            if (e.index() > after.commit()) {
+                continue;
+            }
+            Vault.Entry known = agreed.putIfAbsent(e.index(), e);
+            if (known == e || known != null && known.equals(e) && i < log.size() - c.append().size() - 8) {
+                break;
+            }
+            if (known != null && !known.equals(e)) {
+                throw new Broken("AgreedStays", member + " holds another entry " + e.index() + " as agreed");
+            }
+        }
+    }
+
+    /** Who folds what a disk holds into a ledger: what this helm would know were it alone and all there agreed. */
+    private static Ledger folded(Vault.Saved s) {
+        Ledger out = new Ledger();
+        if (s.snapshot() != null && s.snapshot().data() != null) {
+            out.restore(read(s.snapshot().data()));
+        }
+        s.entries().forEach(e -> out.apply(e.index(), read(e.data())));
+        return out;
+    }
+
+    private static JsonNode read(String data) {
+        try {
+            return JSON.readTree(data);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    // ---- answers
+
+    void acknowledged(History.Change c) {
+        highestAcked = Math.max(highestAcked, c.number);
+        int held = 0;
+        for (SimWorld.Machine m : mesh.world.machines()) {
+            Vault.Saved s = m.disk.load();
+            if (s != null && folded(s).taken(c.digest)) {
+                held++;
+            }
+        }
+        if (held < copies) {
+            throw new Broken("AcknowledgedOnEnoughDisks", c + " is on " + held + " disks as it is acknowledged");
+        }
+    }
+
+    void evacuationAcknowledged(String zone, boolean on, long began) {
+        int held = 0;
+        for (SimWorld.Machine m : mesh.world.machines()) {
+            Vault.Saved s = m.disk.load();
+            Ledger.Evacuation e = s == null ? null : folded(s).evacuations().get(zone);
+            if (e == null ? s != null && !on : e.on() == on) {
+                held++;
+            }
+        }
+        if (held < copies) {
+            throw new Broken("AcknowledgedOnEnoughDisks", "evacuation of " + zone + " is on " + held + " disks");
+        }
+    }
+
+    // ---- after each event
+
+    void check() {
+        for (HelmCore h : mesh.helms.values()) {
+            long at = RaftView.applied(h);
+            Long before = applied.get(h);
+            if (before == null || before != at) {
+                if (before != null && at < before) {
+                    throw new Broken("AgreedStays", RaftView.member(h) + " goes back from " + before + " to " + at);
+                }
+                applied.put(h, at);
+                JsonNode s = h.ledger().snapshot();
+                state(at, s.toString(), RaftView.member(h));
+                Map<String, Long> versions = new LinkedHashMap<>();
+                s.path("taken").fields().forEachRemaining(f -> versions.put(f.getKey(), f.getValue().asLong()));
+                history.agreed(versions);
+                stamp(h.ledger().current());
+                stamp(h.ledger().previous());
+            }
+            if (RaftView.leads(h)) {
+                Long term = led.get(h);
+                if (term == null || term != RaftView.term(h)) {
+                    led.put(h, RaftView.term(h));
+                    beginsToLead(h);
+                }
+            }
+        }
+        mesh.wefts.forEach(this::weft);
+    }
+
+    /** Two helms that have applied the same entries know the same. */
+    private void state(long index, String state, String member) {
+        String other = states.putIfAbsent(index, state);
+        if (other != null && !other.equals(state)) {
+            throw new Broken("StatesMatch", member + " differs at " + index + ": " + state + " from " + other);
+        }
+    }
+
+    private void stamp(Ledger.Version v) {
+        if (v.epoch() > 0) {
+            String s = Config.stamp(v.packed());
+            String other = stamps.putIfAbsent(v.epoch(), s);
+            if (other != null && !other.equals(s)) {
+                throw new Broken("AgreedStays", "two documents are agreed as " + v.epoch());
+            }
+        }
+    }
+
+    private void beginsToLead(HelmCore h) {
+        leads(RaftView.term(h), RaftView.member(h));
+        if (RaftView.term(h) == highestTerm && h.ledger().current().epoch() < highestAcked) {
+            throw new Broken("NobodyLeadsWithOldState", RaftView.member(h) + " leads term " + highestTerm + " with version "
+                    + h.ledger().current().epoch() + ", " + highestAcked + " was acknowledged");
+        }
+    }
+
+    private void weft(String peer, WeftCore w) {
+        long e = w.shadow.epoch();
+        Long before = epochs.get(w);
+        if (before != null && before == e) {
+            return;
+        }
+        if (before != null && e < before) {
+            throw new Broken("SidesNeverGoBack", peer + " goes from " + before + " to " + e);
+        }
+        epochs.put(w, e);
+        if (e > 0 && !w.shadow.real().stamp.equals(stamps.get(e))) {
+            throw new Broken("SidesUseWhatIsAgreed", peer + " uses a version " + e + " that is not agreed");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/bramblespool/model/Step.java
@@ -0,0 +1,97 @@
+package bramblespool.model;
+
+/**
+ * One thing that happens in a schedule. {@code who}: a helm by its number from 1, {@code L} for who leads then, {@code O}
+ * for who led before it, {@code F} for some other helm that runs, {@code ?} for any; {@code ms}: how long; {@code n}: what
+ * else the kind needs.
+ */
+record Step(long at, Kind kind, String who, long ms, int n) {
+    enum Kind {
+        /** An order sent first to who; n: its name; ms: by how much its number is above its base. */
+        ORDER,
+        /** Order n once more, whatever became of it. */
+        AGAIN,
+        READ,
+        /** n: zone, and from 10 on its taking back. */
+        EVACUATE,
+        /** So many changes, each as soon as the last one is acknowledged. */
+        MANY,
+        /** Cut from the other helms; n: 0 both ways, 1 what it sends, 2 what it is sent. */
+        CUT,
+        /** Cut from everybody, operators and wefts too. */
+        ISOLATE,
+        /** The helms whose bits are set in n are cut from the others. */
+        SPLIT,
+        /** One link, from who to helm n. */
+        LINK_CUT,
+        /** n: whether timers go before messages after it. */
+        FREEZE,
+        KILL,
+        POWER,
+        /** Loses power and its disk, and is back after ms. */
+        WIPE,
+        /** Gone for good; another machine starts after ms. */
+        REPLACE,
+        /** Ends as told, and is back after ms. */
+        LEAVE,
+        SPARE,
+        ALL_KILLED,
+        ALL_POWER,
+        /** n helms lose their disks and all others lose power. */
+        CLOSING,
+        /** Each sync takes n ms more. */
+        SLOW_DISK,
+        HANGING_DISK,
+        FULL_DISK,
+        /** n bytes in a millisecond. */
+        SLOW_LINK,
+        /** n in 100 messages are lost, as many come twice, and some come late. */
+        LOSSY,
+        /** No answer reaches the operators. */
+        MUTE,
+        /** The time of day is n ms off. */
+        CLOCK,
+        WEFT_KILLED,
+        WEFT_CUT;
+
+        boolean order() {
+            return ordinal() <= MANY.ordinal();
+        }
+    }
+
+    @Override
+    public String toString() {
+        return at + " " + kind + " " + who + " " + ms + " " + n;
+    }
+
+    static Step parse(String line) {
+        String[] p = line.trim().split(" ");
+        return new Step(Long.parseLong(p[0]), Kind.valueOf(p[1]), p[2], Long.parseLong(p[3]), Integer.parseInt(p[4]));
+    }
+
+    Step with(long newAt, long newMs) {
+        return new Step(newAt, kind, who, newMs, n);
+    }
+
+    /** How many machines it makes lost, as the budget counts them; -1: that is not limited. */
+    int losses(int helms) {
+        return switch (kind) {
+            case CUT, ISOLATE, LINK_CUT, FREEZE, KILL, POWER, WIPE, REPLACE, LEAVE, SLOW_DISK, HANGING_DISK, FULL_DISK,
+                    SLOW_LINK -> 1;
+            case SPLIT -> Math.min(Integer.bitCount(n), helms - Integer.bitCount(n));
+            case CLOSING -> n;
+            case ALL_KILLED, ALL_POWER -> -1;
+            default -> 0;
+        };
+    }
+
+    /** Whether the core is unsettled by it. */
+    boolean trouble() {
+        return !kind.order() && kind != Kind.WEFT_CUT && kind != Kind.WEFT_KILLED && kind != Kind.MUTE;
+    }
+
+    /** Until when the core is troubled: one that is gone for good troubles it only as it goes. */
+    long ends() {
+        return kind == Kind.SPARE ? at : at + ms;
+    }
+}
--- a/src/test/java/bramblespool/sim/SimWorld.java
+++ b/src/test/java/bramblespool/sim/SimWorld.java
@@ -21,6 +21,9 @@
 /** A network, a clock and disks that exist only in this object; everything follows from the seed. */
 public final class SimWorld {
     private static final ObjectMapper JSON = new ObjectMapper();
+    /** The first pause before a message that met a cut is sent again, and the longest. */
+    private static final long RESEND_MS = 200;
+    private static final long RESENT_MS = 7000;
 
     private record Event(long at, long order, Runnable task) implements Comparable<Event> {
         @Override
@@ -34,7 +37,23 @@
     private long now = 1_000_000;
     private long order;
     private final Map<String, Machine> machines = new HashMap<>();
-    private final Set<String> cuts = new HashSet<>();
+    private long step;
+    /** The share of messages, and of answers, that are lost, or that arrive twice; how much later than others one may be. */
+    public double lose;
+    public double twice;
+    public long spreadMs;
+    /** The share of what meets a cut that is sent again, as TCP does, until it gets through. */
+    public double resent;
+    /** Sees each message as it is sent, and each write as it has reached a disk. */
+    public Tap tap;
+
+    /** Who watches the world without taking part in it. */
+    public interface Tap {
+        void sent(Machine from, String kind, ObjectNode body);
+
+        void wrote(Machine at, Vault.Change change, Vault.Saved before, Vault.Saved after);
+    }
+
     public Runnable afterEach = () -> { };
     public long messages;
     public long bytes;
@@ -49,6 +68,11 @@
         return now;
     }
 
+    /** Counts what has happened: of two moments the earlier has the lower number. */
+    public long step() {
+        return ++step;
+    }
+
     public void at(long ms, Runnable task) {
         events.add(new Event(now + ms, order++, task));
     }
@@ -72,6 +96,10 @@
         }
     }
 
+    public java.util.Collection<Machine> machines() {
+        return machines.values();
+    }
+
     public Machine machine(String peer) {
         return machines.computeIfAbsent(peer, Machine::new);
     }
@@ -79,14 +107,14 @@
     /** Cuts what goes from one machine to another, in that direction. */
     public void cut(String from, String to, boolean on) {
         if (on) {
-            cuts.add(from + ">" + to);
+            machine(from).cutTo.add(to);
         } else {
-            cuts.remove(from + ">" + to);
+            machine(from).cutTo.remove(to);
         }
     }
 
     public void isolate(String who, boolean on) {
-        for (String other : machines.keySet()) {
+        for (String other : List.copyOf(machines.keySet())) {
             cut(who, other, on);
             cut(other, who, on);
         }
@@ -107,6 +135,11 @@
         private double outFree;
         private double inFree;
         private double busyUntil;
+        private long frozenUntil;
+        private boolean timersFirst;
+        private final Set<String> cutTo = new HashSet<>();
+        /** Without power: nobody says that nobody is here. */
+        public boolean dark;
         private int life;
         private boolean up;
         private Service service;
@@ -125,6 +158,8 @@
             outFree = 0;
             inFree = 0;
             busyUntil = 0;
+            frozenUntil = 0;
+            dark = false;
             up = true;
         }
 
@@ -142,7 +177,27 @@
 
         /** Its processes stand still for so long; what comes meanwhile waits. */
         public void freeze(long ms) {
-            busyUntil = Math.max(busyUntil, now + ms);
+            freeze(ms, false);
+        }
+
+        /** {@code timersFirst}: whether what came due goes before what came in once it thaws. */
+        public void freeze(long ms, boolean timersFirst) {
+            busyUntil = Math.max(busyUntil, now + ms + (timersFirst ? 1 : 0));
+            frozenUntil = Math.max(frozenUntil, now + ms + (timersFirst ? 0 : 1));
+            this.timersFirst = timersFirst;
+        }
+
+        public boolean frozen() {
+            return now < frozenUntil;
+        }
+
+        /** Runs the task, or once the process has thawed. */
+        private void thawed(Runnable task) {
+            if (frozen()) {
+                mine(frozenUntil - now, () -> thawed(task));
+            } else {
+                task.run();
+            }
         }
 
         void mine(long ms, Runnable task) {
@@ -184,7 +239,8 @@
                 if (off[0]) {
                     return;
                 }
-                long wait = (long) (busyUntil - now);
+                long wait = timersFirst && busyUntil <= frozenUntil + 1 ? frozenUntil - now
+                        : Math.max((long) (busyUntil - now), frozenUntil - now);
                 if (wait > 0) {
                     timer(wait, task, off);
                 } else {
@@ -208,15 +264,18 @@
                     answer.accept(a);
                 }
             };
-            mine(timeoutMs, () -> once.accept(null));
+            mine(timeoutMs, () -> thawed(() -> once.accept(null)));
             String wire = body.toString();
             bytes += wire.length();
             sentBytes += wire.length();
             count(kind, 1, wire.length());
+            if (tap != null) {
+                tap.sent(this, kind, body);
+            }
             int caller = life;
-            at(leaves(wire.length()), () -> {
+            travel(this, address, wire.length(), () -> {
                 Machine to = machines.get(address);
-                if (to == null || cuts.contains(peer + ">" + address)) {
+                if (to == null || to.dark) {
                     return;
                 }
                 if (!to.up || to.service == null) {
@@ -233,16 +292,32 @@
                         int length = text == null ? 0 : text.length();
                         to.sentBytes += length;
                         count(kind, 0, length);
-                        at(to.leaves(length), () -> {
-                            if (!cuts.contains(address + ">" + peer)) {
-                                handle(length, () -> back(caller, once, text));
-                            }
-                        });
+                        travel(to, peer, length, () -> handle(length, () -> back(caller, once, text)));
                     });
                 });
             });
         }
 
+        /** Brings a message to the other end, if it gets there, and as often as it does. */
+        private void travel(Machine from, String to, int length, Runnable arrived) {
+            int copies = twice > 0 && random.nextDouble() < twice ? 2 : 1;
+            for (int i = 0; i < copies; i++) {
+                if (lose > 0 && random.nextDouble() < lose) {
+                    continue;
+                }
+                long late = spreadMs > 0 && random.nextInt(4) == 0 ? random.nextLong(spreadMs) : 0;
+                at(from.leaves(length) + late, () -> pass(from, to, RESEND_MS, arrived));
+            }
+        }
+
+        private void pass(Machine from, String to, long again, Runnable arrived) {
+            if (!from.cutTo.contains(to)) {
+                arrived.run();
+            } else if (resent > 0 && again < RESENT_MS && random.nextDouble() < resent) {
+                at(again, () -> pass(from, to, again * 2, arrived));
+            }
+        }
+
         /** After how long the last byte of a message sent now has arrived at the other end of its own link and the net. */
         private long leaves(int length) {
             outFree = Math.max(now, outFree) + (linkRate > 0 ? length / linkRate : 0);
@@ -289,6 +364,11 @@
         public long slowMs;
         private long waitingSince = -1;
         public boolean full;
+        /** Until when it does nothing at all. */
+        public long hangsUntil;
+        /** Whether a loss of power may take all of a disk on which nothing was ever said to be durable. */
+        public boolean tears;
+        private boolean promised;
 
         private Disk(Machine machine) {
             this.machine = machine;
@@ -296,20 +376,24 @@
 
         public void wipe() {
             held = null;
+            promised = false;
             words.clear();
         }
 
         private void crash(boolean power) {
+            // Writes handed over and not yet said to be durable may be there, in order, as far as the disk had come.
             while (!jobs.isEmpty()) {
                 Object c = jobs.poll()[0];
-                // Without a loss of power writes already handed over may still be there.
-                if (!power && random.nextBoolean() && !full) {
+                if (random.nextBoolean() && !full) {
                     write(c);
                 } else {
                     jobs.clear();
                 }
             }
             waitingSince = -1;
+            if (power && tears && !promised) {
+                wipe();
+            }
         }
 
         @Override
@@ -350,8 +434,8 @@
         }
 
         private void sync() {
-            if (full) {
-                machine.mine(100, this::sync);
+            if (full || now < hangsUntil) {
+                machine.mine(Math.max(100, hangsUntil - now), this::sync);
                 return;
             }
             // One sync for all that waits.
@@ -359,7 +443,10 @@
             jobs.clear();
             waitingSince = -1;
             batch.forEach(j -> write(j[0]));
-            batch.forEach(j -> ((Runnable) j[1]).run());
+            machine.thawed(() -> batch.forEach(j -> {
+                promised = true;
+                ((Runnable) j[1]).run();
+            }));
         }
 
         @SuppressWarnings("unchecked")
@@ -378,7 +465,11 @@
                 entries.removeIf(e -> e.index() <= c.snapshot().index());
             }
             entries.addAll(c.append());
+            Saved before = held;
             held = new Saved(held.incarnation(), c.term(), c.vote(), c.commit(), snap, entries);
+            if (tap != null) {
+                tap.wrote(machine, c, before, held);
+            }
         }
 
         @Override
