The model finds refusals from stale state

Cause: orders to a leader that was cut off stood in its queue behind one under way, so none was refused. Change: a step that acts as another helm begins to lead, by turns with who led before.

--- a/src/test/java/bramblespool/model/Draw.java
+++ b/src/test/java/bramblespool/model/Draw.java
@@ -108,15 +108,18 @@
             long ms = 200 + r.nextInt(longest);
             Kind kind = r.nextInt(5) == 0 ? Kind.FREEZE : r.nextInt(5) == 0 ? Kind.ISOLATE : Kind.CUT;
             String who = r.nextInt(3) > 0 ? "L" : who();
-            order(at - r.nextInt(60), to());
+            int manner = r.nextInt(6);
+            if (manner < 3) {
+                order(at - r.nextInt(60), to());
+            }
             add(at, kind, who, ms, r.nextInt(3));
-            int manner = r.nextInt(3);
-            for (long t = at + r.nextInt(800); t < at + ms + 400; t += 100 + r.nextInt(1500)) {
+            add(at + 1, Kind.CHAIN, "O", 0, 2 * (1 + r.nextInt(4)));
+            for (long t = at + r.nextInt(manner < 3 ? 800 : 3000); t < at + ms + 400; t += 100 + r.nextInt(1500)) {
                 String there = r.nextInt(2) == 0 ? "O" : "L";
                 order(t, there);
-                if (manner == 0) {
+                if (manner % 3 == 0) {
                     order(t + r.nextInt(400), r.nextBoolean() ? "O" : "?");
-                } else if (manner == 1) {
+                } else if (manner % 3 == 1) {
                     order(t, r.nextBoolean() ? "O" : "?");
                 } else {
                     add(t + r.nextInt(600), r.nextBoolean() ? Kind.READ : Kind.AGAIN, "O", 0, r.nextInt(names));
--- a/src/test/java/bramblespool/model/Play.java
+++ b/src/test/java/bramblespool/model/Play.java
@@ -26,6 +26,8 @@
     private String leader;
     private String before;
     private int many = MANY;
+    /** What begins as soon as another helm leads. */
+    private final List<Runnable> onChange = new ArrayList<>();
 
     private Play(Schedule schedule) {
         this.schedule = schedule;
@@ -34,6 +36,7 @@
         invariants = new Invariants(mesh, history, schedule.losses());
         operators = new Operators(world, () -> helms.stream().filter(h -> h != null).toList(), history);
         world.tap = invariants;
+        world.weighs = schedule.steps().stream().anyMatch(s -> s.kind() == Step.Kind.SLOW_LINK);
         world.resent = 0.5;
         mesh.helms.forEach((peer, h) -> {
             helms.add(peer);
@@ -65,6 +68,9 @@
             if (!now.equals(leader)) {
                 before = leader;
                 leader = now;
+                List<Runnable> then = List.copyOf(onChange);
+                onChange.clear();
+                then.forEach(Runnable::run);
             }
         }
     }
@@ -174,6 +180,7 @@
             case READ -> operators.read(helm(s.who()));
             case EVACUATE -> operators.evacuate(SimMesh.ZONES[s.n() % 10 % 3], s.n() < 10, helm(s.who()));
             case MANY -> many(s.n());
+            case CHAIN -> onChange.add(() -> chain(s.n(), s.who()));
             case SPLIT -> split(s);
             case SPARE -> spare();
             case ALL_KILLED, ALL_POWER -> all(s, List.of());
@@ -339,6 +346,17 @@
         }
     }
 
+    private void chain(int left, String who) {
+        if (left > 0) {
+            operators.order(many++, 1, helm(left % 2 == 0 ? "L" : who), e -> {
+                if (world.random.nextBoolean()) {
+                    operators.read(helm(who));
+                }
+                chain(left - 1, who);
+            });
+        }
+    }
+
     private void many(int left) {
         if (left > 0) {
             operators.order(many++, 1, helm("?"), e -> many(left - 1));
--- a/src/test/java/bramblespool/model/Schedule.java
+++ b/src/test/java/bramblespool/model/Schedule.java
@@ -63,7 +63,7 @@
     /** Whether the core has been untroubled for so long before a moment and stays so for that long after it. */
     boolean calm(long from, long until) {
         for (Step s : steps) {
-            if (s.trouble() && s.at() <= until && s.ends() + QUIET >= from) {
+            if (s.trouble() && s.at() <= until && s.ends() + QUIET > from) {
                 return false;
             }
         }
--- a/src/test/java/bramblespool/model/Step.java
+++ b/src/test/java/bramblespool/model/Step.java
@@ -16,6 +16,8 @@
         EVACUATE,
         /** So many changes, each as soon as the last one is acknowledged. */
         MANY,
+        /** n changes, by turns to who leads and to who, each as soon as the last one is acknowledged; begins as another leads. */
+        CHAIN,
         /** Cut from the other helms; n: 0 both ways, 1 what it sends, 2 what it is sent. */
         CUT,
         /** Cut from everybody, operators and wefts too. */
@@ -55,7 +57,7 @@
         WEFT_CUT;
 
         boolean order() {
-            return ordinal() <= MANY.ordinal();
+            return ordinal() <= CHAIN.ordinal();
         }
     }
 
--- a/src/test/java/bramblespool/sim/SimWorld.java
+++ b/src/test/java/bramblespool/sim/SimWorld.java
@@ -42,6 +42,9 @@
     public double lose;
     public double twice;
     public long spreadMs;
+    /** Whether the length of messages matters: to a link's rate, to a processor's work or to whoever counts bytes. */
+    public boolean weighs = true;
+    private boolean repeats;
     /** The share of what meets a cut that is sent again, as TCP does, until it gets through. */
     public double resent;
     /** Sees each message as it is sent, and each write as it has reached a disk. */
@@ -265,15 +268,16 @@
                 }
             };
             mine(timeoutMs, () -> thawed(() -> once.accept(null)));
-            String wire = body.toString();
-            bytes += wire.length();
-            sentBytes += wire.length();
-            count(kind, 1, wire.length());
+            Letter wire = new Letter(body);
+            int length = wire.length;
+            bytes += length;
+            sentBytes += length;
+            count(kind, 1, length);
             if (tap != null) {
                 tap.sent(this, kind, body);
             }
             int caller = life;
-            travel(this, address, wire.length(), () -> {
+            travel(this, address, length, () -> {
                 Machine to = machines.get(address);
                 if (to == null || to.dark) {
                     return;
@@ -283,16 +287,15 @@
                     return;
                 }
                 int callee = to.life;
-                to.handle(wire.length(), () -> {
+                to.handle(length, () -> {
                     if (to.life != callee) {
                         return;
                     }
-                    to.service.serve(kind, parse(wire), out -> {
-                        String text = out == null ? null : out.toString();
-                        int length = text == null ? 0 : text.length();
-                        to.sentBytes += length;
-                        count(kind, 0, length);
-                        travel(to, peer, length, () -> handle(length, () -> back(caller, once, text)));
+                    to.service.serve(kind, wire.read(), out -> {
+                        Letter answered = new Letter(out);
+                        to.sentBytes += answered.length;
+                        count(kind, 0, answered.length);
+                        travel(to, peer, answered.length, () -> handle(answered.length, () -> back(caller, once, answered)));
                     });
                 });
             });
@@ -301,6 +304,7 @@
         /** Brings a message to the other end, if it gets there, and as often as it does. */
         private void travel(Machine from, String to, int length, Runnable arrived) {
             int copies = twice > 0 && random.nextDouble() < twice ? 2 : 1;
+            repeats |= copies > 1;
             for (int i = 0; i < copies; i++) {
                 if (lose > 0 && random.nextDouble() < lose) {
                     continue;
@@ -339,18 +343,34 @@
             }
         }
 
-        private void back(int caller, Consumer<JsonNode> once, String text) {
+        private void back(int caller, Consumer<JsonNode> once, Letter letter) {
             if (up && life == caller) {
-                once.accept(text == null ? null : parse(text));
+                once.accept(letter == null ? null : letter.read());
             }
         }
     }
 
-    private static JsonNode parse(String text) {
-        try {
-            return JSON.readTree(text);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException(e);
+    /** A message under way: as text, or as a copy where nobody asks how long it is. */
+    private final class Letter {
+        private final String text;
+        private final ObjectNode copy;
+        final int length;
+
+        Letter(ObjectNode body) {
+            text = body == null || !weighs ? null : body.toString();
+            copy = body == null || weighs ? null : body.deepCopy();
+            length = text == null ? 0 : text.length();
+        }
+
+        JsonNode read() {
+            if (text == null) {
+                return copy == null || !repeats ? copy : copy.deepCopy();
+            }
+            try {
+                return JSON.readTree(text);
+            } catch (JsonProcessingException e) {
+                throw new IllegalStateException(e);
+            }
         }
     }
 
