Mutants of the code, each with the invariant that sees it

Cause: an invariant that never fails shows nothing. Change: 31 faults, one at a time compiled into classes of their own and played until the model sees them; yes to a vote or to entries is checked against the disk at that moment.

--- a/src/test/java/bramblespool/model/Draw.java
+++ b/src/test/java/bramblespool/model/Draw.java
@@ -222,7 +222,8 @@
                 order(at, to());
             }
             long t = at + r.nextInt(80);
-            switch (r.nextInt(4)) {
+            switch (r.nextInt(6)) {
+                case 4, 5 -> late(t);
                 case 0 -> add(t, Kind.ALL_KILLED, "-", 400 + r.nextInt(2000), 0);
                 case 1 -> add(t, Kind.ALL_POWER, "-", 400 + r.nextInt(2000), 0);
                 case 2 -> add(t, Kind.CLOSING, "-", 400 + r.nextInt(2000), losses);
@@ -240,6 +241,17 @@
         }
     }
 
+    /** One misses an order and is back as all others come back, too. */
+    private void late(long at) {
+        long ms = 400 + r.nextInt(2000);
+        loss(at, List.of(Kind.CUT, Kind.KILL, Kind.POWER, Kind.FREEZE, Kind.LEAVE, Kind.HANGING_DISK).get(r.nextInt(6)),
+                r.nextInt(3) == 0 ? "L" : "F", ms);
+        order(at + r.nextInt((int) ms / 2), "L");
+        order(at + r.nextInt((int) ms), "?");
+        long gone = 300 + r.nextInt(500);
+        add(Math.max(at + 20, at + ms - gone + r.nextInt(200)), r.nextBoolean() ? Kind.ALL_KILLED : Kind.ALL_POWER, "-", gone, 0);
+    }
+
     private void mix() {
         long at = Schedule.CATCH_UP;
         for (int i = 0; i < 3 + r.nextInt(5); i++) {
--- a/src/test/java/bramblespool/model/Hunt.java
+++ b/src/test/java/bramblespool/model/Hunt.java
@@ -16,7 +16,7 @@
     private Hunt() {
     }
 
-    /** {@code --from 1 --count 20000 --threads 4 --shrink 3 --theme TURNS}; or {@code --play FILE}. */
+    /** {@code --from 1 --count 20000 --threads 4 --shrink 3 --theme TURNS --without REPLACE}; or {@code --play FILE}. */
     public static void main(String[] args) throws Exception {
         Map<String, String> o = new TreeMap<>();
         for (int i = 0; i + 1 < args.length; i += 2) {
@@ -31,8 +31,9 @@
         int count = Integer.parseInt(o.getOrDefault("--count", "20000"));
         int shrunk = Integer.parseInt(o.getOrDefault("--shrink", "2"));
         Draw.Theme theme = o.containsKey("--theme") ? Draw.Theme.valueOf(o.get("--theme")) : null;
+        String without = o.getOrDefault("--without", "-");
         long start = System.nanoTime();
-        List<Found> found = hunt(from, count, Integer.parseInt(o.getOrDefault("--threads", "4")), Integer.MAX_VALUE, theme);
+        List<Found> found = hunt(from, count, Integer.parseInt(o.getOrDefault("--threads", "4")), Integer.MAX_VALUE, theme, without);
         double s = (System.nanoTime() - start) / 1e9;
         System.out.printf("%d schedules in %.0f s, %.1f a second, %d broke an invariant%n", count, s, count / s, found.size());
         Map<String, List<Found>> by = new TreeMap<>();
@@ -50,15 +51,27 @@
         }
     }
 
-    /** Plays until so many seeds have broken something; {@code theme}: of this one only, or null. */
-    static List<Found> hunt(long from, int count, int threads, int most, Draw.Theme theme) throws InterruptedException {
+    /** The first seed of a theme, from one on, that breaks something, and what; null where none does. For {@link Mutants}. */
+    static String first(String theme, long from, long most) {
+        for (long seed = from; seed <= most; seed++) {
+            Broken b = Play.play(Draw.schedule(seed, Draw.Theme.valueOf(theme)));
+            if (b != null) {
+                return seed + " " + b.invariant;
+            }
+        }
+        return null;
+    }
+
+    /** Plays until so many seeds have broken something; {@code theme}: of this one only, or null; {@code without}: a step's kind. */
+    static List<Found> hunt(long from, int count, int threads, int most, Draw.Theme theme, String without) throws InterruptedException {
         Map<Long, Found> found = new ConcurrentHashMap<>();
         AtomicLong next = new AtomicLong(from);
         List<Thread> all = new ArrayList<>();
         for (int i = 0; i < threads; i++) {
             Thread t = new Thread(() -> {
                 for (long seed = next.getAndIncrement(); seed < from + count && found.size() < most; seed = next.getAndIncrement()) {
-                    Broken b = Play.play(theme == null ? Draw.schedule(seed) : Draw.schedule(seed, theme));
+                    Schedule s = theme == null ? Draw.schedule(seed) : Draw.schedule(seed, theme);
+                    Broken b = s.toString().contains(" " + without + " ") ? null : Play.play(s);
                     if (b != null) {
                         found.put(seed, new Found(seed, b));
                     }
--- a/src/test/java/bramblespool/model/Invariants.java
+++ b/src/test/java/bramblespool/model/Invariants.java
@@ -65,6 +65,41 @@
         }
     }
 
+    /** Whoever answers yes to a vote or to entries has them on its disk. */
+    @Override
+    public void answered(SimWorld.Machine by, String kind, JsonNode request, JsonNode answer) {
+        boolean vote = kind.equals("vote") && !request.path("pre").asBoolean();
+        if (!answer.path("ok").asBoolean() || !vote && !kind.equals("append") && !kind.equals("snap")) {
+            return;
+        }
+        Vault.Saved s = by.disk.load();
+        String member = by.peer + "#" + s.incarnation();
+        long term = request.path("term").asLong();
+        if (vote) {
+            vote(member, term, request.path("from").asText());
+        }
+        if (s.term() > term) {
+            return;
+        }
+        long upTo = kind.equals("append") ? request.path("prevIndex").asLong() + request.path("entries").size()
+                : request.path("index").asLong();
+        long base = s.snapshot() == null ? 0 : s.snapshot().index();
+        long last = s.entries().isEmpty() ? base : s.entries().get(s.entries().size() - 1).index();
+        if (vote ? s.term() < term || !request.path("from").asText().equals(s.vote()) : last < upTo) {
+            throw new Broken("DurableBeforeTold", member + " says yes to " + kind + " before its disk has it");
+        }
+    }
+
+    private void vote(String member, long term, String on) {
+        Vote v = votes.get(member);
+        if (v != null && v.term == term && !v.on.equals(on)) {
+            throw new Broken("OneVoteATerm", member + " votes for " + v.on + " and " + on + " in term " + term);
+        }
+        if (v == null || v.term < term) {
+            votes.put(member, new Vote(term, on));
+        }
+    }
+
     private void leads(long term, String member) {
         highestTerm = Math.max(highestTerm, term);
         String other = leaders.putIfAbsent(term, member);
@@ -82,11 +117,7 @@
             throw new Broken("TermsOnlyRise", member + " goes from term " + before.term() + " to " + c.term());
         }
         if (c.vote() != null) {
-            Vote v = votes.get(member);
-            if (v != null && v.term == c.term() && !v.on.equals(c.vote())) {
-                throw new Broken("OneVoteATerm", member + " votes for " + v.on + " and " + c.vote() + " in term " + c.term());
-            }
-            votes.put(member, new Vote(c.term(), c.vote()));
+            vote(member, c.term(), c.vote());
         }
         if (c.truncateFrom() > 0 && c.truncateFrom() <= before.commit() && c.snapshot() == null) {
             throw new Broken("AgreedStays", member + " drops what it held as agreed, from " + c.truncateFrom());
--- /dev/null
+++ b/src/test/java/bramblespool/model/Mutants.java
@@ -0,0 +1,182 @@
+package bramblespool.model;
+
+import java.io.IOException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import javax.tools.ToolProvider;
+
+/** Plays the model on code with one fault in it, and says which invariant sees it, and after how many schedules. */
+public final class Mutants {
+    /** One text in one source, and what stands there instead. */
+    private record Edit(String file, String text, String instead) {
+    }
+
+    private record Mutant(String name, String theme, List<Edit> edits) {
+    }
+
+    private static final Path MAIN = Path.of("src/main/java/bramblespool");
+    private static final Path OUT = Path.of("target/mutants");
+
+    private Mutants() {
+    }
+
+    private static Mutant mutant(String name, String theme, String... edits) {
+        List<Edit> all = new ArrayList<>();
+        for (int i = 0; i < edits.length; i += 3) {
+            all.add(new Edit(edits[i], edits[i + 1], edits[i + 2]));
+        }
+        return new Mutant(name, theme, all);
+    }
+
+    private static final List<Mutant> ALL = List.of(
+            mutant("votes twice in a term", "MIX", "raft/Raft.java",
+                    "if (vote != null && !vote.equals(candidate)) {", "if (vote == null && candidate == null) {"),
+            mutant("votes before its disk has the vote", "MIX", "raft/Election.java",
+                    "raft.persist(0, List.of(), null, () -> answer.accept(yes));",
+                    "raft.persist(0, List.of(), null, () -> { }); answer.accept(yes);"),
+            mutant("wins with half of the votes", "MIX", "raft/Raft.java",
+                    "return voters().size() / 2 + 1;", "return Math.max(1, voters().size() / 2);"),
+            mutant("votes for whoever lacks entries", "CLOSING",
+                    "raft/Election.java", "if (!upToDate || !raft.voteFor(from)) {", "if (!raft.voteFor(from)) {",
+                    "raft/Election.java", "asked > raft.term() && upToDate", "asked > raft.term()"),
+            mutant("its term goes back", "CUT_OFF", "raft/Raft.java",
+                    "if (t < term) {", "if (t < 0) {", "raft/Raft.java", "boolean newer = newTerm > term;",
+                    "boolean newer = newTerm != term;", "raft/Raft.java", "if (t > term ||", "if (t != term ||"),
+            mutant("a follower answers before its disk", "MIX", "raft/Replication.java",
+                    "raft.persist(truncate, added, null, () -> answer.accept(yes));",
+                    "raft.persist(truncate, added, null, () -> { }); answer.accept(yes);"),
+            mutant("a leader counts itself before its disk", "MIX", "raft/Raft.java",
+                    "persist(0, List.of(e), null, () -> {", "replication.stored(e.index()); persist(0, List.of(e), null, () -> {"),
+            mutant("one copy is enough", "MIX", "raft/Raft.java",
+                    "return Math.max(majority(), Math.min(copies, voters().size()));", "return 1;"),
+            mutant("agrees on an older term's entry by counting", "CUT_OFF",
+                    "raft/Replication.java", "&& raft.entries.termAt(agreed) == raft.term()", ""),
+            mutant("does not look at the entry before", "CUT_OFF", "raft/Replication.java",
+                    "entries.termAt(prev) != m.path(\"prevTerm\").asLong()", "false"),
+            mutant("keeps what differs from its leader", "CUT_OFF", "raft/Replication.java",
+                    "if (at <= entries.last() && entries.termAt(at) != et) {", "if (at <= entries.last() && et < 0) {"),
+            mutant("stores entries altered", "MIX", "raft/Replication.java",
+                    "new Vault.Entry(at, et, n.path(\"data\").asText());", "new Vault.Entry(at, et, n.path(\"data\").asText() + \" \");"),
+            mutant("forgets evacuations with the next version", "MIX", "state/Ledger.java",
+                    "        candidate = null;\n        phase = Phase.DECIDED;", "        candidate = null;\n        evacuations.clear();\n        phase = Phase.DECIDED;"),
+            mutant("takes any snapshot", "AWAY", "raft/Replication.java",
+                    "if (index <= raft.commit) {", "if (index < 0) {"),
+            mutant("a snapshot forgets what was taken", "AWAY", "state/Ledger.java",
+                    "n.path(\"taken\").fields().forEachRemaining(f -> taken.put(f.getKey(), f.getValue().asLong()));", ""),
+            mutant("a snapshot forgets the voters", "AWAY", "raft/RaftLog.java",
+                    "votersThen = votersOf(entries.get(i));", ""),
+            mutant("changes voters while a change is open", "TURNS",
+                    "raft/Configuration.java", "|| raft.entries.changesVoters(raft.commit)", ""),
+            mutant("never replaces who is absent", "TURNS", "raft/Configuration.java",
+                    "if (now - raft.leadingSince > raft.times.absent()) {", "if (now < 0) {"),
+            mutant("reads without asking", "CUT_OFF", "raft/Reads.java",
+                    "waiting.add(new Read(raft.clock.now(), done));", "if (raft.leads()) { done.accept(true); return; }"),
+            mutant("leads before it has applied all", "CUT_OFF", "raft/Raft.java",
+                    "        ready = false;\n        replication.clear();", "        ready = true;\n        machine.leading(true);\n        replication.clear();"),
+            mutant("does not know a repeat", "RIVALS", "coordination/HelmCore.java",
+                    "if (ledger.taken(change.digest())) {", "if (false) {", "coordination/Commit.java",
+                    "if (ledger.taken(change.digest())) {", "if (false) {"),
+            mutant("does not look at the base", "RIVALS", "coordination/Commit.java",
+                    "if (change.base() != ledger.current().epoch()) {", "if (false) {", "state/Ledger.java",
+                    "candidateBase != current.epoch ||", ""),
+            mutant("refuses where it cannot know", "RIVALS", "coordination/Commit.java",
+                    "if (!ok || !ledger.taken(o.change.digest())) {\n                o.done.accept(Orders.Outcome.unclear(\"the lead was lost\"));",
+                    "if (!ok || !ledger.taken(o.change.digest())) {\n                o.done.accept(Orders.Outcome.stale(0));"),
+            mutant("refuses a number that is free", "MIX", "coordination/Commit.java",
+                    "if (config.epoch <= ledger.current().epoch()) {", "if (config.epoch <= ledger.current().epoch() + 3 && config.epoch > 5) {"),
+            mutant("leaves what the last leader left", "RIVALS", "coordination/Commit.java",
+                    "if (ledger.candidate() != null) {", "if (false) {"),
+            mutant("works on two changes at once", "RIVALS",
+                    "coordination/Commit.java", "        busy = true;\n        long mine = lead;\n        ObjectNode e", "        long mine = lead;\n        ObjectNode e"),
+            mutant("records a change under another's digest", "MIX", "state/Ledger.java",
+                    "taken.put(current.digest, epoch);", "taken.put(current.digest, epoch); taken.put(current.digest + \"x\", epoch);"),
+            mutant("forgets an evacuation", "MIX", "state/Ledger.java",
+                    "case \"evac\" -> evacuations.put(e.path(\"zone\").asText(), new Evacuation(e.path(\"on\").asBoolean(), index));", "case \"evac\" -> { }"),
+            mutant("a side takes an older version", "MIX", "coordination/Shadow.java",
+                    "if (decided.epoch <= epoch()) {", "if (decided.epoch == epoch()) {", "coordination/WeftCore.java",
+                    "if (epoch < shadow.epoch()) {", "if (epoch < 0) {", "coordination/WeftCore.java",
+                    "|| shadow.epoch() >= epoch) {", ") {"),
+            mutant("a side uses what is only proposed", "MIX", "coordination/Shadow.java",
+                    "        installed[1 - real] = candidate;\n", "        installed[1 - real] = candidate;\n        real = 1 - real;\n"),
+            mutant("a side that missed a version stays there", "MIX", "coordination/WeftCore.java",
+                    "if (fetching) {\n            return;", "if (epoch > 0) {\n            return;"),
+            mutant("an index is off by one", "CUT_OFF", "raft/RaftLog.java",
+                    "entries.subList((int) (from - base() - 1), entries.size()).clear();",
+                    "entries.subList((int) (from - base()), entries.size() - 1).clear();"));
+
+    /** {@code [--most 400] [--only part of a name]}. */
+    public static void main(String[] args) throws Exception {
+        int most = 400;
+        String only = "";
+        for (int i = 0; i + 1 < args.length; i += 2) {
+            if (args[i].equals("--most")) {
+                most = Integer.parseInt(args[i + 1]);
+            } else {
+                only = args[i + 1];
+            }
+        }
+        int missed = 0;
+        System.out.println("| Mutant | Seen by | Schedules |\n| --- | --- | --- |");
+        for (int i = 0; i < ALL.size(); i++) {
+            Mutant m = ALL.get(i);
+            if (m.name.contains(only)) {
+                String seen = play(m, OUT.resolve("m" + i), most);
+                missed += seen.contains("not seen") ? 1 : 0;
+                System.out.println("| " + m.name + " | " + seen + " |");
+            }
+        }
+        System.exit(missed == 0 ? 0 : 1);
+    }
+
+    private static String play(Mutant m, Path out, int most) throws Exception {
+        compile(m, out);
+        List<URL> path = new ArrayList<>();
+        path.add(out.resolve("classes").toUri().toURL());
+        for (String p : System.getProperty("java.class.path").split(java.io.File.pathSeparator)) {
+            path.add(Path.of(p).toUri().toURL());
+        }
+        try (URLClassLoader loader = new URLClassLoader(path.toArray(URL[]::new), ClassLoader.getPlatformClassLoader())) {
+            var first = loader.loadClass(Hunt.class.getName()).getDeclaredMethod("first", String.class, long.class, long.class);
+            first.setAccessible(true);
+            for (long from = 1; from <= most;) {
+                String seen = (String) first.invoke(null, m.theme, from, (long) most);
+                if (seen == null) {
+                    break;
+                }
+                long seed = Long.parseLong(seen.split(" ")[0]);
+                // What the code without the mutant breaks as well does not count.
+                if (Play.play(Draw.schedule(seed, Draw.Theme.valueOf(m.theme))) == null) {
+                    return seen.split(" ")[1] + " | " + seed;
+                }
+                from = seed + 1;
+            }
+            return "not seen | " + most;
+        }
+    }
+
+    private static void compile(Mutant m, Path out) throws IOException {
+        Path classes = Files.createDirectories(out.resolve("classes"));
+        List<String> args = new ArrayList<>(List.of("-nowarn", "-proc:none", "-d", classes.toString(), "-cp",
+                System.getProperty("java.class.path")));
+        for (Edit e : m.edits) {
+            Path copy = out.resolve("src").resolve(e.file);
+            String known = copy.toString();
+            String source = Files.readString(args.contains(known) ? copy : MAIN.resolve(e.file));
+            if (!source.contains(e.text)) {
+                throw new IllegalStateException(m.name + ": " + e.file + " has no " + e.text);
+            }
+            Files.createDirectories(copy.getParent());
+            Files.writeString(copy, source.replace(e.text, e.instead));
+            if (!args.contains(known)) {
+                args.add(known);
+            }
+        }
+        if (ToolProvider.getSystemJavaCompiler().run(null, System.out, System.out, args.toArray(String[]::new)) != 0) {
+            throw new IllegalStateException(m.name + " does not compile");
+        }
+    }
+}
--- a/src/test/java/bramblespool/model/RaftView.java
+++ b/src/test/java/bramblespool/model/RaftView.java
@@ -1,7 +1,7 @@
 package bramblespool.model;
 
 import bramblespool.coordination.HelmCore;
-import bramblespool.coordination.Quorum;
+import bramblespool.raft.Raft;
 import java.util.List;
 
 /** All that the model reads of a helm's agreement. */
@@ -10,31 +10,31 @@
     }
 
     static boolean leads(HelmCore h) {
-        return h.quorum.leads();
+        return h.raft.leads();
     }
 
     static long term(HelmCore h) {
-        return h.quorum.term();
+        return h.raft.term();
     }
 
     static long applied(HelmCore h) {
-        return h.quorum.applied();
+        return h.raft.applied();
     }
 
     /** Where a caller is sent on to, or null. */
     static String leaderControl(HelmCore h) {
-        return h.quorum.leaderControl();
+        return h.raft.leaderControl();
     }
 
     static List<String> voters(HelmCore h) {
-        return h.quorum.voters();
+        return h.raft.voters();
     }
 
     static String member(HelmCore h) {
-        return h.quorum.self();
+        return h.raft.self();
     }
 
     static String addressOf(String member) {
-        return Quorum.addressOf(member);
+        return Raft.addressOf(member);
     }
 }
--- a/src/test/java/bramblespool/sim/SimWorld.java
+++ b/src/test/java/bramblespool/sim/SimWorld.java
@@ -54,6 +54,8 @@
     public interface Tap {
         void sent(Machine from, String kind, ObjectNode body);
 
+        void answered(Machine by, String kind, JsonNode request, JsonNode answer);
+
         void wrote(Machine at, Vault.Change change, Vault.Saved before, Vault.Saved after);
     }
 
@@ -291,7 +293,11 @@
                     if (to.life != callee) {
                         return;
                     }
-                    to.service.serve(kind, wire.read(), out -> {
+                    JsonNode request = wire.read();
+                    to.service.serve(kind, request, out -> {
+                        if (tap != null && out != null) {
+                            tap.answered(to, kind, request, out);
+                        }
                         Letter answered = new Letter(out);
                         to.sentBytes += answered.length;
                         count(kind, 0, answered.length);
