--- a/src/test/java/bramblespool/model/Invariants.java
+++ b/src/test/java/bramblespool/model/Invariants.java
@@ -165,6 +165,22 @@
         }
     }
 
+    /** Whether this disk has a change's candidate and its decision, or a snapshot that knows it as taken. */
+    private static boolean holds(Vault.Saved s, History.Change c) {
+        boolean decided = false;
+        for (int i = s.entries().size() - 1; i >= 0; i--) {
+            String data = s.entries().get(i).data();
+            boolean candidate = data.startsWith("{\"k\":\"candidate\"");
+            if ((candidate || data.startsWith("{\"k\":\"decide\"")) && read(data).path("epoch").asLong() == c.number) {
+                if (candidate && decided) {
+                    return data.contains(c.digest);
+                }
+                decided = !candidate;
+            }
+        }
+        return s.snapshot() != null && s.snapshot().data() != null && folded(s).taken(c.digest);
+    }
+
     /** Who folds what a disk holds into a ledger: what this helm would know were it alone and all there agreed. */
     private static Ledger folded(Vault.Saved s) {
         Ledger out = new Ledger();
@@ -205,7 +221,7 @@
         highestAcked = Math.max(highestAcked, c.number);
         int held = 0;
         for (Vault.Saved s : disks()) {
-            if (folded(s).taken(c.digest)) {
+            if (holds(s, c)) {
                 held++;
             }
         }
