--- a/src/test/java/bramblespool/model/Draw.java
+++ b/src/test/java/bramblespool/model/Draw.java
@@ -260,7 +260,25 @@
         add(Math.max(at + 20, at + ms - gone + r.nextInt(200)), r.nextBoolean() ? Kind.ALL_KILLED : Kind.ALL_POWER, "-", gone, 0);
     }
 
+    /** Who was long away is back, with others than the leader, as its place is given to another. */
+    private void backElsewhere() {
+        long at = Schedule.CATCH_UP + r.nextInt(300);
+        long ms = 7500 + r.nextInt(1500);
+        int away = 1 + r.nextInt(3);
+        add(at, Kind.CUT, String.valueOf(away), ms, 0);
+        long split = at + ms - r.nextInt(500);
+        int with = 1 + r.nextInt(3);
+        add(split, Kind.SPLIT, "-", 1500 + r.nextInt(2500), 1 << with - 1 | 1 << helms - 1);
+        for (int k = 0; k < 6; k++) {
+            order(split + r.nextInt(3000), String.valueOf(1 + r.nextInt(helms)));
+        }
+    }
+
     private void beyond() {
+        if (helms == 4 && r.nextInt(3) == 0) {
+            backElsewhere();
+            return;
+        }
         long at = Schedule.CATCH_UP + r.nextInt(500);
         for (int i = 0; i < 1 + r.nextInt(3); i++) {
             long ms = 100 + r.nextInt(1500);
