--- a/src/main/java/bramblespool/raft/Raft.java
+++ b/src/main/java/bramblespool/raft/Raft.java
@@ -25,8 +25,9 @@
 
     /** The incarnation of a disk that took part in the founding. */
     public static final String FOUNDER = "0";
-    /** Entries applied before the log is folded into a snapshot. */
+    /** Entries applied, or how many times the snapshot's size they are, before the log is folded into one at a checkpoint. */
     private static final int FOLD = 128;
+    private static final int FOLD_RATIO = 2;
 
     final String self;
     final String control;
@@ -42,7 +43,11 @@
     final Reads reads;
     final Rights rights;
     final Configuration configuration;
+    final Checkpoints checkpoints;
     final int copies;
+    /** The state here is the group's, as far as is known; and the snapshot on the disk was whole at the start. */
+    private boolean fit = true;
+    private boolean whole = true;
 
     private long term;
     private String vote;
@@ -53,6 +58,7 @@
     private String leader;
     private String leaderControl;
     private long leaderHeard;
+    private long leaderTerm;
     private boolean ready;
     private boolean stopped;
     private boolean leaving;
@@ -79,8 +85,17 @@
         this.vote = saved.vote();
         this.entries = new RaftLog(saved);
         this.applied = entries.base();
+        this.checkpoints = new Checkpoints(this);
         if (entries.snapshot().data() != null) {
-            machine.restore(RaftLog.parse(entries.snapshot().data()));
+            String state = Seal.open(entries.snapshot().data());
+            if (state == null) {
+                fit = false;
+                whole = false;
+                log.say(Event.SNAPSHOT_REFUSED, "index", entries.base(), "why", "digest, at the start");
+            } else {
+                machine.restore(RaftLog.parse(state));
+                checkpoints.add(entries.base(), Seal.brief(entries.snapshot().data()));
+            }
         }
         this.commit = Math.max(entries.base(), Math.min(saved.commit(), entries.last()));
         this.leaderHeard = clock.now() - times.election();
@@ -168,6 +183,11 @@
         return term;
     }
 
+    /** The highest term in which this member has led or heard of who leads. */
+    public long leaderTerm() {
+        return leaderTerm;
+    }
+
     public long applied() {
         return applied;
     }
@@ -213,6 +233,20 @@
         return rights.standing();
     }
 
+    /** How far the others are, where this member leads. */
+    public List<Progress> progress() {
+        return role == Role.LEADER ? replication.progress() : List.of();
+    }
+
+    /** The state here is not what the group agreed on: this member does not lead before it has taken another's. */
+    void unfit() {
+        fit = false;
+    }
+
+    boolean fit() {
+        return fit;
+    }
+
     /** All who have a vote, as the newest entry that names them says, agreed or not. */
     public List<String> voters() {
         return group().all();
@@ -242,7 +276,8 @@
         long now = clock.now();
         if (role == Role.LEADER) {
             lead(now);
-        } else if (!leaving && election.due(now) && now - leaderHeard >= times.election() && voters().contains(self) && healthy()) {
+        } else if (!leaving && election.due(now) && now - leaderHeard >= times.election() && voters().contains(self)
+                && healthy() && fit) {
             election.campaign(true);
         }
     }
@@ -298,8 +333,10 @@
         leader = self;
         leaderControl = control;
         leadingSince = clock.now();
+        leaderTerm = term;
         ready = false;
         replication.clear();
+        checkpoints.clear();
         log.say(Event.LEADING, "term", term);
         append(Ledger.entry("noop"), ok -> {
             if (ok && role == Role.LEADER) {
@@ -372,27 +409,50 @@
     }
 
     void apply() {
-        while (applied < Math.min(commit, entries.last())) {
+        while (whole && applied < Math.min(commit, entries.last())) {
             applied++;
             Vault.Entry e = entries.get(applied);
             machine.apply(e.index(), RaftLog.parse(e.data()));
+            if (applied % Checkpoints.EVERY == 0) {
+                checkpoint();
+            }
             Consumer<Boolean> w = waiting.remove(e.index());
             if (w != null) {
                 w.accept(true);
             }
         }
-        if (applied - entries.base() >= FOLD) {
-            entries.fold(applied, machine.snapshot().toString());
-            persist(0, List.of(), entries.snapshot(), () -> { });
-            log.say(Event.SNAPSHOT_TAKEN, "index", entries.base());
+    }
+
+    /** All members fold at the same indices, so that one can go on with a snapshot that another had begun to send. */
+    private void checkpoint() {
+        String data = Seal.seal(machine.snapshot().toString());
+        checkpoints.add(applied, Seal.brief(data));
+        if (applied - entries.base() >= FOLD || entries.letters(entries.base() + 1, applied) >= FOLD_RATIO * data.length()) {
+            fold(data);
         }
     }
 
-    void restore(Vault.Snapshot s) {
-        entries.replace(s);
-        commit = s.index();
+    /** Folds all that is applied, at any index. */
+    void fold() {
+        fold(Seal.seal(machine.snapshot().toString()));
+    }
+
+    private void fold(String data) {
+        entries.fold(applied, data);
+        persist(0, List.of(), entries.snapshot(), () -> { });
+        log.say(Event.SNAPSHOT_TAKEN, "index", entries.base());
+    }
+
+    /** Answers whether the entries behind the snapshot stay. */
+    boolean restore(Vault.Snapshot s, String state) {
+        boolean stay = entries.replace(s);
+        commit = Math.max(commit, s.index());
         applied = s.index();
-        machine.restore(RaftLog.parse(s.data()));
+        machine.restore(RaftLog.parse(state));
+        checkpoints.add(s.index(), Seal.brief(s.data()));
+        fit = true;
+        whole = true;
+        return stay;
     }
 
     // ---- peers
@@ -408,16 +468,21 @@
     /** Serves one of the group's messages; false where the kind is another's. */
     public boolean serve(String kind, JsonNode m, Consumer<ObjectNode> answer) {
         switch (kind) {
-            case "vote", "append", "snap", "lead", "leave" -> {
+            case "vote", "append", "part", "heartbeat", "lead", "leave" -> {
                 if (stopped || !self.equals(m.path("to").asText())) {
                     log.once(Event.MESSAGE_DROPPED, kind + m.path("to").asText(), "kind", kind, "cause", "not for this life");
                     answer.accept(null);
                 } else if (kind.equals("vote")) {
-                    election.voteAsked(m, answer);
+                    if (whole) {
+                        election.voteAsked(m, answer);
+                    } else {
+                        answer.accept(reply(false));
+                    }
                 } else if (kind.equals("leave")) {
                     answer.accept(reply(leads() && configuration.leave(m.path("id").asText())));
                 } else if (kind.equals("lead")) {
-                    if (m.path("term").asLong() == term && role == Role.FOLLOWER && voters().contains(self) && healthy() && !leaving) {
+                    if (m.path("term").asLong() == term && role == Role.FOLLOWER && voters().contains(self) && healthy() && fit
+                            && !leaving) {
                         m.path("learners").forEach(l -> configuration.join(l.asText()));
                         election.take();
                     }
@@ -453,12 +518,44 @@
         before = leader;
         leaderControl = m.path("control").asText();
         leaderHeard = clock.now();
+        leaderTerm = term;
         election.postpone();
         rights.heard(leader, m);
-        if (kind.equals("snap")) {
-            replication.install(m, answer);
-        } else {
-            replication.appendAsked(m, answer);
+        if (m.path("differs").asBoolean() && fit) {
+            log.say(Event.STATE_DIFFERS, "member", self, "index", applied, "leader", leader);
+            fit = false;
+        }
+        Consumer<ObjectNode> told = out -> {
+            checkpoints.answer(m, out);
+            if (!fit) {
+                out.put("renew", entries.base());
+            }
+            answer.accept(out);
+        };
+        switch (kind) {
+            case "part" -> replication.partAsked(m, told);
+            case "heartbeat" -> {
+                // It says nothing of the disk; but whoever has none that works is not to be counted on.
+                if (healthy()) {
+                    told.accept(reply(true));
+                } else {
+                    answer.accept(null);
+                }
+            }
+            default -> {
+                if (whole) {
+                    replication.appendAsked(m, told);
+                } else {
+                    told.accept(reply(false).put("hint", 0));
+                }
+            }
+        }
+    }
+
+    /** Somebody has heard of a leader in that term: a leader in a lower one is none any more. */
+    public void heardOf(long newer) {
+        if (newer > term && role == Role.LEADER) {
+            stepDown(newer, "a higher term was heard of");
         }
     }
 
