--- a/src/test/java/bramblespool/sim/SimWorld.java
+++ b/src/test/java/bramblespool/sim/SimWorld.java
@@ -21,6 +21,9 @@
 /** A network, a clock and disks that exist only in this object; everything follows from the seed. */
 public final class SimWorld {
     private static final ObjectMapper JSON = new ObjectMapper();
+    /** The first pause before a message that met a cut is sent again, and the longest. */
+    private static final long RESEND_MS = 200;
+    private static final long RESENT_MS = 7000;
 
     private record Event(long at, long order, Runnable task) implements Comparable<Event> {
         @Override
@@ -34,7 +37,28 @@
     private long now = 1_000_000;
     private long order;
     private final Map<String, Machine> machines = new HashMap<>();
-    private final Set<String> cuts = new HashSet<>();
+    private long step;
+    /** The share of messages, and of answers, that are lost, or that arrive twice; how much later than others one may be. */
+    public double lose;
+    public double twice;
+    public long spreadMs;
+    /** Whether the length of messages matters: to a link's rate, to a processor's work or to whoever counts bytes. */
+    public boolean weighs = true;
+    private boolean repeats;
+    /** The share of what meets a cut that is sent again, as TCP does, until it gets through. */
+    public double resent;
+    /** Sees each message as it is sent, and each write as it has reached a disk. */
+    public Tap tap;
+
+    /** Who watches the world without taking part in it. */
+    public interface Tap {
+        void sent(Machine from, String kind, ObjectNode body);
+
+        void answered(Machine by, String kind, JsonNode request, JsonNode answer);
+
+        void wrote(Machine at, Vault.Change change, Vault.Saved before, Vault.Saved after);
+    }
+
     public Runnable afterEach = () -> { };
     public long messages;
     public long bytes;
@@ -56,6 +80,11 @@
         return now;
     }
 
+    /** Counts what has happened: of two moments the earlier has the lower number. */
+    public long step() {
+        return ++step;
+    }
+
     public void at(long ms, Runnable task) {
         events.add(new Event(now + ms, order++, task));
     }
@@ -79,6 +108,10 @@
         }
     }
 
+    public java.util.Collection<Machine> machines() {
+        return machines.values();
+    }
+
     public Machine machine(String peer) {
         return machines.computeIfAbsent(peer, Machine::new);
     }
@@ -86,14 +119,14 @@
     /** Cuts what goes from one machine to another, in that direction. */
     public void cut(String from, String to, boolean on) {
         if (on) {
-            cuts.add(from + ">" + to);
+            machine(from).cutTo.add(to);
         } else {
-            cuts.remove(from + ">" + to);
+            machine(from).cutTo.remove(to);
         }
     }
 
     public void isolate(String who, boolean on) {
-        for (String other : machines.keySet()) {
+        for (String other : List.copyOf(machines.keySet())) {
             cut(who, other, on);
             cut(other, who, on);
         }
@@ -114,6 +147,11 @@
         private double outFree;
         private double inFree;
         private double busyUntil;
+        private long frozenUntil;
+        private boolean timersFirst;
+        private final Set<String> cutTo = new HashSet<>();
+        /** Without power: nobody says that nobody is here. */
+        public boolean dark;
         private int life;
         private boolean up;
         private Service service;
@@ -132,6 +170,8 @@
             outFree = 0;
             inFree = 0;
             busyUntil = 0;
+            frozenUntil = 0;
+            dark = false;
             up = true;
         }
 
@@ -149,7 +189,27 @@
 
         /** Its processes stand still for so long; what comes meanwhile waits. */
         public void freeze(long ms) {
-            busyUntil = Math.max(busyUntil, now + ms);
+            freeze(ms, false);
+        }
+
+        /** {@code timersFirst}: whether what came due goes before what came in once it thaws. */
+        public void freeze(long ms, boolean timersFirst) {
+            busyUntil = Math.max(busyUntil, now + ms + (timersFirst ? 1 : 0));
+            frozenUntil = Math.max(frozenUntil, now + ms + (timersFirst ? 0 : 1));
+            this.timersFirst = timersFirst;
+        }
+
+        public boolean frozen() {
+            return now < frozenUntil;
+        }
+
+        /** Runs the task, or once the process has thawed. */
+        private void thawed(Runnable task) {
+            if (frozen()) {
+                mine(frozenUntil - now, () -> thawed(task));
+            } else {
+                task.run();
+            }
         }
 
         void mine(long ms, Runnable task) {
@@ -191,7 +251,8 @@
                 if (off[0]) {
                     return;
                 }
-                long wait = (long) (busyUntil - now);
+                long wait = timersFirst && busyUntil <= frozenUntil + 1 ? frozenUntil - now
+                        : Math.max((long) (busyUntil - now), frozenUntil - now);
                 if (wait > 0) {
                     timer(wait, task, off);
                 } else {
@@ -215,21 +276,25 @@
                     answer.accept(a);
                 }
             };
-            mine(timeoutMs, () -> once.accept(null));
-            String wire = body.toString();
-            bytes += wire.length();
-            sentBytes += wire.length();
-            count(kind, 1, wire.length());
+            mine(timeoutMs, () -> thawed(() -> once.accept(null)));
+            Letter wire = new Letter(body);
+            int length = wire.length;
+            bytes += length;
+            sentBytes += length;
+            count(kind, 1, length);
+            if (tap != null) {
+                tap.sent(this, kind, body);
+            }
             int caller = life;
             Runnable deliver = () -> deliver(address, kind, wire, caller, once);
-            if (!keeper.keeps(peer, address, kind, body, deliver)) {
-                at(leaves(wire.length()), deliver);
+            if (!keeper.keeps(peer, address, kind, body, () -> pass(this, address, RESEND_MS, deliver))) {
+                travel(this, address, length, deliver);
             }
         }
 
-        private void deliver(String address, String kind, String wire, int caller, Consumer<JsonNode> once) {
+        private void deliver(String address, String kind, Letter wire, int caller, Consumer<JsonNode> once) {
             Machine to = machines.get(address);
-            if (to == null || cuts.contains(peer + ">" + address)) {
+            if (to == null || to.dark) {
                 return;
             }
             if (!to.up || to.service == null) {
@@ -237,24 +302,44 @@
                 return;
             }
             int callee = to.life;
-            to.handle(wire.length(), () -> {
+            to.handle(wire.length, () -> {
                 if (to.life != callee) {
                     return;
                 }
-                to.service.serve(kind, parse(wire), out -> {
-                    String text = out == null ? null : out.toString();
-                    int length = text == null ? 0 : text.length();
-                    to.sentBytes += length;
-                    count(kind, 0, length);
-                    at(to.leaves(length), () -> {
-                        if (!cuts.contains(address + ">" + peer)) {
-                            handle(length, () -> back(caller, once, text));
-                        }
-                    });
+                JsonNode request = wire.read();
+                to.service.serve(kind, request, out -> {
+                    if (tap != null && out != null) {
+                        tap.answered(to, kind, request, out);
+                    }
+                    Letter answered = new Letter(out);
+                    to.sentBytes += answered.length;
+                    count(kind, 0, answered.length);
+                    travel(to, peer, answered.length, () -> handle(answered.length, () -> back(caller, once, answered)));
                 });
             });
         }
 
+        /** Brings a message to the other end, if it gets there, and as often as it does. */
+        private void travel(Machine from, String to, int length, Runnable arrived) {
+            int copies = twice > 0 && random.nextDouble() < twice ? 2 : 1;
+            repeats |= copies > 1;
+            for (int i = 0; i < copies; i++) {
+                if (lose > 0 && random.nextDouble() < lose) {
+                    continue;
+                }
+                long late = spreadMs > 0 && random.nextInt(4) == 0 ? random.nextLong(spreadMs) : 0;
+                at(from.leaves(length) + late, () -> pass(from, to, RESEND_MS, arrived));
+            }
+        }
+
+        private void pass(Machine from, String to, long again, Runnable arrived) {
+            if (!from.cutTo.contains(to)) {
+                arrived.run();
+            } else if (resent > 0 && again < RESENT_MS && random.nextDouble() < resent) {
+                at(again, () -> pass(from, to, again * 2, arrived));
+            }
+        }
+
         /** After how long the last byte of a message sent now has arrived at the other end of its own link and the net. */
         private long leaves(int length) {
             outFree = Math.max(now, outFree) + (linkRate > 0 ? length / linkRate : 0);
@@ -276,18 +361,34 @@
             }
         }
 
-        private void back(int caller, Consumer<JsonNode> once, String text) {
+        private void back(int caller, Consumer<JsonNode> once, Letter letter) {
             if (up && life == caller) {
-                once.accept(text == null ? null : parse(text));
+                once.accept(letter == null ? null : letter.read());
             }
         }
     }
 
-    private static JsonNode parse(String text) {
-        try {
-            return JSON.readTree(text);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException(e);
+    /** A message under way: as text, or as a copy where nobody asks how long it is. */
+    private final class Letter {
+        private final String text;
+        private final ObjectNode copy;
+        final int length;
+
+        Letter(ObjectNode body) {
+            text = body == null || !weighs ? null : body.toString();
+            copy = body == null || weighs ? null : body.deepCopy();
+            length = text == null ? 0 : text.length();
+        }
+
+        JsonNode read() {
+            if (text == null) {
+                return copy == null || !repeats ? copy : copy.deepCopy();
+            }
+            try {
+                return JSON.readTree(text);
+            } catch (JsonProcessingException e) {
+                throw new IllegalStateException(e);
+            }
         }
     }
 
@@ -301,6 +402,11 @@
         public long slowMs;
         private long waitingSince = -1;
         public boolean full;
+        /** Until when it does nothing at all. */
+        public long hangsUntil;
+        /** Whether a loss of power may take all of a disk on which nothing was ever said to be durable. */
+        public boolean tears;
+        private boolean promised;
 
         private Disk(Machine machine) {
             this.machine = machine;
@@ -308,20 +414,24 @@
 
         public void wipe() {
             held = null;
+            promised = false;
             words.clear();
         }
 
         private void crash(boolean power) {
+            // Writes handed over and not yet said to be durable may be there, in order, as far as the disk had come.
             while (!jobs.isEmpty()) {
                 Object c = jobs.poll()[0];
-                // Without a loss of power writes already handed over may still be there.
-                if (!power && random.nextBoolean() && !full) {
+                if (random.nextBoolean() && !full) {
                     write(c);
                 } else {
                     jobs.clear();
                 }
             }
             waitingSince = -1;
+            if (power && tears && !promised) {
+                wipe();
+            }
         }
 
         @Override
@@ -362,8 +472,8 @@
         }
 
         private void sync() {
-            if (full) {
-                machine.mine(100, this::sync);
+            if (full || now < hangsUntil) {
+                machine.mine(Math.max(100, hangsUntil - now), this::sync);
                 return;
             }
             // One sync for all that waits.
@@ -371,7 +481,10 @@
             jobs.clear();
             waitingSince = -1;
             batch.forEach(j -> write(j[0]));
-            batch.forEach(j -> ((Runnable) j[1]).run());
+            machine.thawed(() -> batch.forEach(j -> {
+                promised = true;
+                ((Runnable) j[1]).run();
+            }));
         }
 
         @SuppressWarnings("unchecked")
@@ -390,7 +503,11 @@
                 entries.removeIf(e -> e.index() <= c.snapshot().index());
             }
             entries.addAll(c.append());
+            Saved before = held;
             held = new Saved(held.incarnation(), c.term(), c.vote(), c.commit(), snap, entries);
+            if (tap != null) {
+                tap.wrote(machine, c, before, held);
+            }
         }
 
         @Override
