--- /dev/null
+++ b/src/test/java/bramblespool/model/RaftView.java
@@ -0,0 +1,65 @@
+package bramblespool.model;
+
+import bramblespool.coordination.HelmCore;
+import bramblespool.raft.Raft;
+import bramblespool.state.Vault;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+
+/** All that the model reads of a helm's agreement. */
+final class RaftView {
+    private RaftView() {
+    }
+
+    static boolean leads(HelmCore h) {
+        return h.raft.leads();
+    }
+
+    static long term(HelmCore h) {
+        return h.raft.term();
+    }
+
+    static long applied(HelmCore h) {
+        return h.raft.applied();
+    }
+
+    /** Where a caller is sent on to, or null. */
+    static String leaderControl(HelmCore h) {
+        return h.raft.leaderControl();
+    }
+
+    static List<String> voters(HelmCore h) {
+        return h.raft.voters();
+    }
+
+    static String member(HelmCore h) {
+        return h.raft.self();
+    }
+
+    /** Whether only a leader sends this kind of message. */
+    static boolean fromLeader(String kind) {
+        return kind.equals("append") || kind.equals("part") || kind.equals("heartbeat");
+    }
+
+    /** The index that an answer says the answering member has on its disk, or 0. */
+    static long told(String kind, JsonNode request, JsonNode answer) {
+        if (!answer.path("ok").asBoolean() || answer.has("have")) {
+            return 0;
+        }
+        long upTo = switch (kind) {
+            case "append" -> request.path("prevIndex").asLong() + request.path("entries").size();
+            case "part" -> request.path("index").asLong();
+            default -> 0;
+        };
+        return Math.min(upTo, answer.path("stored").asLong(upTo));
+    }
+
+    /** The state that a snapshot on a disk holds, without the digest before it. */
+    static String state(Vault.Snapshot s) {
+        return s.data().substring(s.data().indexOf('{'));
+    }
+
+    static String addressOf(String member) {
+        return Raft.addressOf(member);
+    }
+}
