--- a/src/test/java/bramblespool/model/Draw.java
+++ b/src/test/java/bramblespool/model/Draw.java
@@ -215,8 +215,10 @@
         if (r.nextInt(3) == 0) {
             add(at + ms + r.nextInt(600), r.nextBoolean() ? Kind.ALL_POWER : Kind.ALL_KILLED, "-", 400 + r.nextInt(600), 0);
         }
-        if (r.nextInt(3) == 0) {
-            add(at + ms + r.nextInt(1000), Kind.LOSSY, "-", 1000 + r.nextInt(2000), 5 + r.nextInt(20));
+        if (r.nextBoolean()) {
+            // What is sent to it as it is back comes late and twice, while more goes on.
+            add(at + ms - r.nextInt(300), Kind.LOSSY, "-", 1000 + r.nextInt(2000), 5 + r.nextInt(30));
+            add(at + ms - 500 + r.nextInt(500), Kind.MANY, "?", 0, 10 + r.nextInt(20));
         }
         loss(at + ms + Schedule.CATCH_UP + r.nextInt(500), LOSSES[r.nextInt(LOSSES.length)], who(), 200 + r.nextInt(2000));
         orders(at, ms + 2000, r.nextInt(3));
--- a/src/test/java/bramblespool/model/Operators.java
+++ b/src/test/java/bramblespool/model/Operators.java
@@ -120,12 +120,12 @@
     private Errand start(String what, ObjectNode m, String to, Consumer<Errand> done) {
         Errand e = new Errand(what, m, world.now());
         errands.add(e);
-        attempt(e, to, FIRST_PAUSE, REDIRECTS, done);
+        attempt(e, to == null ? next(null) : to, FIRST_PAUSE, REDIRECTS, done);
         return e;
     }
 
     private void attempt(Errand e, String to, long pause, int redirects, Consumer<Errand> done) {
-        if (over || to == null) {
+        if (over) {
             return;
         }
         long began = world.step();
