--- a/src/test/java/bramblespool/model/Mutants.java
+++ b/src/test/java/bramblespool/model/Mutants.java
@@ -67,7 +67,9 @@
                     "        candidate = null;\n        phase = Phase.DECIDED;", "        candidate = null;\n        evacuations.clear();\n        phase = Phase.DECIDED;"),
             mutant("takes any snapshot", "AWAY", "raft/Replication.java",
                     "if (ofSnapshot && index <= raft.commit && raft.fit()) {", "if (ofSnapshot && index < 0) {",
-                    "raft/Replication.java", "|| index < raft.entries.base()", ""),
+                    "raft/Replication.java", "|| index < raft.entries.base()", "",
+                    // Else the entries behind it stay, and all that was applied is applied again at once.
+                    "raft/RaftLog.java", "boolean agrees = termAt(by.index()) == by.term();", "boolean agrees = false;"),
             mutant("says yes to a snapshot that its disk lacks", "AWAY", "raft/Replication.java",
                     "store(0, List.of(), null, answer);", "answer.accept(raft.reply(true));"),
             mutant("a snapshot forgets what was taken", "AWAY", "state/Ledger.java",
--- a/src/test/java/bramblespool/model/Step.java
+++ b/src/test/java/bramblespool/model/Step.java
@@ -94,9 +94,9 @@
         return kind == Kind.WIPE || kind == Kind.REPLACE || kind == Kind.CLOSING;
     }
 
-    /** Whether the core is unsettled by it. */
+    /** Whether the core is unsettled by it, or operators cannot hear it. */
     boolean trouble() {
-        return !kind.order() && kind != Kind.WEFT_CUT && kind != Kind.WEFT_KILLED && kind != Kind.MUTE;
+        return !kind.order() && kind != Kind.WEFT_CUT && kind != Kind.WEFT_KILLED;
     }
 
     /** Until when the core is troubled: one that is gone for good troubles it only as it goes. */
