--- a/src/test/java/bramblespool/model/Draw.java
+++ b/src/test/java/bramblespool/model/Draw.java
@@ -215,8 +215,10 @@
         if (r.nextInt(3) == 0) {
             add(at + ms + r.nextInt(600), r.nextBoolean() ? Kind.ALL_POWER : Kind.ALL_KILLED, "-", 400 + r.nextInt(600), 0);
         }
-        if (r.nextInt(3) == 0) {
-            add(at + ms + r.nextInt(1000), Kind.LOSSY, "-", 1000 + r.nextInt(2000), 5 + r.nextInt(20));
+        if (r.nextBoolean()) {
+            // What is sent to it as it is back comes late and twice, while more goes on.
+            add(at + ms - r.nextInt(300), Kind.LOSSY, "-", 1000 + r.nextInt(2000), 5 + r.nextInt(30));
+            add(at + ms - 500 + r.nextInt(500), Kind.MANY, "?", 0, 10 + r.nextInt(20));
         }
         loss(at + ms + Schedule.CATCH_UP + r.nextInt(500), LOSSES[r.nextInt(LOSSES.length)], who(), 200 + r.nextInt(2000));
         orders(at, ms + 2000, r.nextInt(3));
@@ -263,7 +265,7 @@
     /** Who was long away is back, with others than the leader, as its place is given to another. */
     private void backElsewhere() {
         long at = Schedule.CATCH_UP + r.nextInt(300);
-        long ms = 7500 + r.nextInt(1500);
+        long ms = (r.nextInt(4) == 0 ? 7500 : 3600) + r.nextInt(1500);
         int away = 1 + r.nextInt(3);
         add(at, Kind.CUT, String.valueOf(away), ms, 0);
         long split = at + ms - r.nextInt(500);
