--- a/src/test/java/bramblespool/state/VaultTest.java
+++ b/src/test/java/bramblespool/state/VaultTest.java
@@ -290,7 +290,7 @@
 
     /**
      * A write goes to the log: first its head, if it begins anew, and a sync; then the rest, and a sync. Only then, now
-     * and then, pages go to the database, and a sync. (Traced; see docs/control-disk.md.)
+     * and then, pages go to the database, and a sync. (Traced; see docs/control.md.)
      */
     private static Moment during(Moment before, Moment after, Random random) {
         byte[] oldLog = before.now.get(WAL);
