--- a/src/main/java/bramblespool/raft/Raft.java
+++ b/src/main/java/bramblespool/raft/Raft.java
@@ -273,7 +273,8 @@
         if (stopped) {
             return;
         }
-        clock.after(Math.max(1, times.heartbeat() / 2), this::tick);
+        // Not in step with the others: whose time to campaign comes in one tick split the votes, again and again.
+        clock.after(Math.max(1, (long) (times.heartbeat() / 2.0 * (0.5 + clock.chance()))), this::tick);
         long now = clock.now();
         if (role == Role.LEADER) {
             lead(now);
--- a/src/test/java/bramblespool/MajorityTest.java
+++ b/src/test/java/bramblespool/MajorityTest.java
@@ -247,7 +247,7 @@
     /** However the votes fall, somebody leads soon after a leader's loss. */
     @Test
     void splitVotesAreSoonOver() {
-        for (long seed = 1; seed <= 4 * SEEDS; seed++) {
+        for (long seed = 1; seed <= 12 * SEEDS; seed++) {
             SimMesh mesh = mesh(seed, 5, 2);
             mesh.killHelm(leader(mesh), true);
             mesh.killHelm(mesh.helms.keySet().iterator().next(), true);
@@ -255,8 +255,8 @@
             while (mesh.leader() == null && mesh.world.now() - lost < 9000) {
                 mesh.world.run(10);
             }
-            // Four elections' times, of 600 ms each.
-            assertTrue(mesh.world.now() - lost <= 2400, "seed " + seed + ": " + (mesh.world.now() - lost));
+            // Three elections' times, of 600 ms each; every vote that is left is needed.
+            assertTrue(mesh.world.now() - lost <= 1800, "seed " + seed + ": " + (mesh.world.now() - lost));
         }
     }
 }
