Counters as text at /metrics: requests, cancellations, operator's calls

The deploy file's test took the last word of run for the role; it now wants role, port and metrics to agree, which is stricter.

--- a/src/main/java/bramblespool/cli/Bramblespool.java
+++ b/src/main/java/bramblespool/cli/Bramblespool.java
@@ -21,8 +21,8 @@
      */
     public static void main(String[] args) {
         replaceFormerSubcommand(args);
-        if (args.length == 1 && ProcessLauncher.MACHINE_CLASSES.containsKey(args[0])) {
-            runRole(args[0]);
+        if (isPlainStart(args)) {
+            runRole(args[0], args.length == 1 ? 0 : Integer.parseInt(args[2]));
             return;
         }
         int code = Commands.execute(args);
@@ -38,10 +38,17 @@
         }
     }
 
-    private static void runRole(String role) {
+    /** Whether the arguments are a role and at most {@code --metrics-port PORT}. */
+    static boolean isPlainStart(String[] args) {
+        return (args.length == 1
+                        || args.length == 3 && args[1].equals("--metrics-port") && args[2].matches("[0-9]{1,5}"))
+                && ProcessLauncher.MACHINE_CLASSES.containsKey(args[0]);
+    }
+
+    private static void runRole(String role, int metricsPort) {
         int code = settingsFileFromEnvironment() == null
                 ? reportMissingSettings()
-                : ProcessLauncher.run(role, settingsFileFromEnvironment(), EventLog.Level.INFO);
+                : ProcessLauncher.run(role, settingsFileFromEnvironment(), EventLog.Level.INFO, metricsPort);
         if (code != ProcessLauncher.EXIT_OK) {
             System.exit(code);
         }
--- a/src/main/java/bramblespool/cli/Commands.java
+++ b/src/main/java/bramblespool/cli/Commands.java
@@ -78,6 +78,13 @@
                 description = "error, warn, info or debug (${DEFAULT-VALUE})")
         private EventLog.Level logLevel;
 
+        @Option(
+                names = "--metrics-port",
+                paramLabel = "PORT",
+                defaultValue = "0",
+                description = "port for counters as text, at /metrics on the machine's address; 0 for none")
+        private int metricsPort;
+
         /** A key of {@link ProcessLauncher#MACHINE_CLASSES}. */
         abstract String role();
 
@@ -87,7 +94,7 @@
             if (resolvedFile == null) {
                 return Bramblespool.reportMissingSettings();
             }
-            int code = ProcessLauncher.run(role(), resolvedFile, logLevel);
+            int code = ProcessLauncher.run(role(), resolvedFile, logLevel, metricsPort);
             hasStartedRole = code == ProcessLauncher.EXIT_OK;
             return code;
         }
--- a/src/main/java/bramblespool/cli/ProcessLauncher.java
+++ b/src/main/java/bramblespool/cli/ProcessLauncher.java
@@ -58,7 +58,7 @@
      * Returns {@link #EXIT_INVALID} for unusable settings and ends the process with {@link #EXIT_FAILED} where the
      * start fails.
      */
-    static int run(String role, Path settingsFile, EventLog.Level level) {
+    static int run(String role, Path settingsFile, EventLog.Level level, int metricsPort) {
         Settings settings;
         try {
             settings = SettingsParser.read(settingsFile);
@@ -75,7 +75,7 @@
         }
         EventLog log = new EventLog(settings.node(), System.err, level);
         try {
-            new ProcessLauncher(settingsFile, settings, log).start(role);
+            new ProcessLauncher(settingsFile, settings, log).start(role, metricsPort);
             return EXIT_OK;
         } catch (IOException | SQLException | RuntimeException e) {
             System.err.println("bramblespool: " + role + " could not start: " + e.getMessage());
@@ -84,12 +84,15 @@
         }
     }
 
-    private void start(String role) throws IOException, SQLException {
+    private void start(String role, int metricsPort) throws IOException, SQLException {
         CountDownLatch started = new CountDownLatch(1);
         Throwable[] failure = new Throwable[1];
         eventLoop.post(() -> {
             try {
                 process = createProcess(role);
+                if (metricsPort > 0) {
+                    process.exposeMetrics(settings.ip() + ":" + metricsPort);
+                }
             } catch (IOException | SQLException | RuntimeException | LinkageError e) {
                 failure[0] = e;
             }
--- a/src/main/java/bramblespool/process/ControllerProcess.java
+++ b/src/main/java/bramblespool/process/ControllerProcess.java
@@ -10,6 +10,8 @@
 import bramblespool.state.EventLog;
 import bramblespool.state.EventLog.Event;
 import bramblespool.state.InvalidConfigurationException;
+import bramblespool.state.Metric;
+import bramblespool.state.Metrics;
 import bramblespool.state.ReplicatedState;
 import bramblespool.state.Settings;
 import bramblespool.state.SqliteDurableStore;
@@ -40,6 +42,7 @@
     private final EventLoop eventLoop;
     private final ControllerNode controllerNode;
     private final Listeners listeners;
+    private final Metrics metrics;
     private final SqliteDurableStore durableStore;
     private final long retryAfterMs;
     private final java.util.Set<String> zones;
@@ -54,6 +57,7 @@
         this.eventLoop = eventLoop;
         this.retryAfterMs = settings.bounds().quietPeriodMs() / 15;
         this.zones = settings.zones().keySet();
+        metrics = new Metrics(log);
         listeners = new Listeners(eventLoop, log);
         UpstreamClient upstream = new UpstreamClient(eventLoop, listeners.bufferPool());
         HttpPeerTransport transport =
@@ -119,6 +123,9 @@
             inFlightRequests++;
             exchange.addExchangeCompleteListener((done, next) -> {
                 inFlightRequests--;
+                if (done.isResponseComplete()) {
+                    metrics.increment(Metric.OPERATOR_REQUESTS_ANSWERED);
+                }
                 next.proceed();
             });
             exchange.dispatch(
@@ -133,6 +140,7 @@
     }
 
     private void handleBody(HttpServerExchange exchange, String path, BodyStream.Body body) {
+        metrics.increment(Metric.OPERATOR_REQUESTS_READ);
         if (!body.isComplete()) {
             exchange.setPersistent(false);
             Replies.sendJson(exchange, 413, errorJson("too large"));
@@ -206,6 +214,11 @@
         return json.toString();
     }
 
+    @Override
+    public void exposeMetrics(String address) {
+        MetricsEndpoint.open(listeners, address, metrics);
+    }
+
     @Override
     public void updateSettings(Settings newSettings) {
         controllerNode.updateSettings(newSettings);
--- a/src/main/java/bramblespool/process/ProxyProcess.java
+++ b/src/main/java/bramblespool/process/ProxyProcess.java
@@ -8,6 +8,7 @@
 import bramblespool.proxy.ServerForwarder;
 import bramblespool.state.EventLog;
 import bramblespool.state.EventLog.Event;
+import bramblespool.state.Metrics;
 import bramblespool.state.RequestLimits;
 import bramblespool.state.RoutingConfiguration;
 import bramblespool.state.Settings;
@@ -39,6 +40,7 @@
     final Settings settings;
     final DataPlaneNode dataPlaneNode;
     final Listeners listeners;
+    private final Metrics metrics;
     final UpstreamClient upstream;
     private final OutboundHandler outboundHandler;
     private final HttpOpenListener clientListener;
@@ -53,6 +55,7 @@
         this.settings = settings;
         Settings.Bounds bounds = settings.bounds();
         long connectTimeoutMs = bounds.quietPeriodMs() / 12;
+        metrics = new Metrics(log);
         listeners = new Listeners(eventLoop, log);
         upstream = new UpstreamClient(eventLoop, listeners.bufferPool());
         HttpPeerTransport transport =
@@ -60,7 +63,7 @@
         dataPlaneNode = new DataPlaneNode(settings, eventLoop, transport, log);
         transport.setRequestHandler(dataPlaneNode);
         ServerForwarder forwarder = new ServerForwarder(
-                eventLoop, upstream, dataPlaneNode.usageCounter, connectTimeoutMs, bounds.quietPeriodMs());
+                eventLoop, upstream, dataPlaneNode.usageCounter, metrics, connectTimeoutMs, bounds.quietPeriodMs());
         outboundHandler = new OutboundHandler(
                 eventLoop,
                 dataPlaneNode,
@@ -82,6 +85,7 @@
                         dataPlaneNode.onVersionMismatch();
                     }
                 },
+                metrics,
                 log);
         InboundHandler inboundHandler = new InboundHandler(
                 eventLoop,
@@ -91,7 +95,8 @@
                 listeners.bufferPool(),
                 localService,
                 dataPlaneNode::onVersionMark,
-                dataPlaneNode::hasLeft);
+                dataPlaneNode::hasLeft,
+                metrics);
         listeners.listen(settings.peerAddress(), transport, peerListenerOptions());
         listeners.listen(
                 settings.inboundAddress(),
@@ -187,6 +192,11 @@
         }
     }
 
+    @Override
+    public void exposeMetrics(String address) {
+        MetricsEndpoint.open(listeners, address, metrics);
+    }
+
     @Override
     public void updateSettings(Settings newSettings) {
         dataPlaneNode.updateSettings(newSettings);
--- a/src/main/java/bramblespool/proxy/InboundHandler.java
+++ b/src/main/java/bramblespool/proxy/InboundHandler.java
@@ -5,6 +5,8 @@
 import bramblespool.coordination.traffic.ServerAdmissions;
 import bramblespool.protocol.ExecutionOutcome;
 import bramblespool.protocol.HeaderNames;
+import bramblespool.state.Metric;
+import bramblespool.state.Metrics;
 import bramblespool.state.Route;
 import bramblespool.transport.BodyStream;
 import bramblespool.transport.Clock;
@@ -32,6 +34,7 @@
 
     private final BiConsumer<String, String> onVersionMark;
     private final BooleanSupplier hasLeft;
+    private final Metrics metrics;
 
     /**
      * @param localService the service of this machine's server; null in a gateway
@@ -46,8 +49,10 @@
             ByteBufferPool bufferPool,
             String localService,
             BiConsumer<String, String> onVersionMark,
-            BooleanSupplier hasLeft) {
+            BooleanSupplier hasLeft,
+            Metrics metrics) {
         this.hasLeft = hasLeft;
+        this.metrics = metrics;
         this.clock = clock;
         this.shadowCommit = shadowCommit;
         this.serverAdmissions = serverAdmissions;
@@ -139,6 +144,7 @@
                 bufferPool,
                 ServerForwarder.MAX_BUFFERED_BYTES,
                 body -> {
+                    countExchange(exchange);
                     ServerForwarder.ForwardedRequest request = new ServerForwarder.ForwardedRequest(
                             exchange.getRequestMethod(),
                             Replies.requestTarget(exchange),
@@ -157,6 +163,14 @@
                 e -> exchange.endExchange());
     }
 
+    private void countExchange(HttpServerExchange exchange) {
+        metrics.increment(Metric.FORWARDED_READ);
+        exchange.addExchangeCompleteListener((done, next) -> {
+            metrics.increment(done.isResponseComplete() ? Metric.FORWARDED_ANSWERED : Metric.FORWARDED_CLIENT_CLOSED);
+            next.proceed();
+        });
+    }
+
     /** Every response names the attempt it answers, so that it cannot be mistaken for an answer to another one. */
     private static String attemptId(HttpServerExchange exchange) {
         return exchange.getRequestHeaders().getFirst(HeaderNames.ATTEMPT_ID);
--- a/src/main/java/bramblespool/proxy/OutboundHandler.java
+++ b/src/main/java/bramblespool/proxy/OutboundHandler.java
@@ -12,6 +12,8 @@
 import bramblespool.protocol.HeaderNames;
 import bramblespool.state.EventLog;
 import bramblespool.state.EventLog.Event;
+import bramblespool.state.Metric;
+import bramblespool.state.Metrics;
 import bramblespool.state.Route;
 import bramblespool.state.RoutingConfiguration;
 import bramblespool.state.Service;
@@ -67,6 +69,7 @@
 
     private final UpstreamClient.ConnectionOptions connectionOptions;
     private final ProxyObserver proxyObserver;
+    private final Metrics metrics;
     private final EventLog log;
     private boolean isStopping;
     private int inFlightRequests;
@@ -95,6 +98,7 @@
             String localService,
             UpstreamClient.ConnectionOptions connectionOptions,
             ProxyObserver proxyObserver,
+            Metrics metrics,
             EventLog log) {
         this.clock = clock;
         this.shadowCommit = dataPlaneNode.shadowCommit;
@@ -112,6 +116,7 @@
         this.localService = localService;
         this.connectionOptions = connectionOptions;
         this.proxyObserver = proxyObserver;
+        this.metrics = metrics;
         this.log = log;
     }
 
@@ -274,6 +279,11 @@
         }
 
         void admit(BodyStream.Body body) {
+            metrics.increment(Metric.REQUESTS_READ);
+            exchange.addExchangeCompleteListener((done, next) -> {
+                metrics.increment(done.isResponseComplete() ? Metric.REQUESTS_ANSWERED : Metric.REQUESTS_CLIENT_CLOSED);
+                next.proceed();
+            });
             request = new ServerForwarder.ForwardedRequest(
                     exchange.getRequestMethod(),
                     Replies.requestTarget(exchange),
--- a/src/main/java/bramblespool/proxy/ServerForwarder.java
+++ b/src/main/java/bramblespool/proxy/ServerForwarder.java
@@ -4,6 +4,8 @@
 import bramblespool.coordination.traffic.ServerAdmission;
 import bramblespool.protocol.ExecutionOutcome;
 import bramblespool.protocol.HeaderNames;
+import bramblespool.state.Metric;
+import bramblespool.state.Metrics;
 import bramblespool.state.Route;
 import bramblespool.transport.BodyStream;
 import bramblespool.transport.Clock;
@@ -81,6 +83,7 @@
     private final Clock clock;
     private final UpstreamClient upstream;
     private final UsageCounter usageCounter;
+    private final Metrics metrics;
     private final long connectTimeoutMs;
     /** How long an idle connection to a server is reused, from the last Keep-Alive header received. */
     private long idleReuseMs;
@@ -90,7 +93,13 @@
      * @param idleReuseMs how long an idle connection to a server is reused as long as no server has announced a time
      */
     public ServerForwarder(
-            Clock clock, UpstreamClient upstream, UsageCounter usageCounter, long connectTimeoutMs, long idleReuseMs) {
+            Clock clock,
+            UpstreamClient upstream,
+            UsageCounter usageCounter,
+            Metrics metrics,
+            long connectTimeoutMs,
+            long idleReuseMs) {
+        this.metrics = metrics;
         this.clock = clock;
         this.upstream = upstream;
         this.usageCounter = usageCounter;
@@ -173,6 +182,7 @@
             }
             deadlineTimer = clock.schedule(remainingMs + DEADLINE_GRACE_MS, () -> {
                 boolean wasSent = upstreamCall.isRequestSent();
+                metrics.increment(Metric.SERVER_REQUESTS_CANCELLED);
                 upstreamCall.cancel();
                 finish(
                         wasSent ? Result.possiblyExecuted("deadline") : Result.notExecuted("late", 0, false),
@@ -183,6 +193,7 @@
             if (tenant != null) {
                 usageWindow = usageCounter.recordRun(tenant);
             }
+            metrics.increment(Metric.SERVER_REQUESTS);
             upstreamCall = upstream.send(
                     serverAdmission.address(),
                     new UpstreamClient.ConnectionOptions(connectTimeoutMs, idleReuseMs, MAX_BUFFERED_BYTES),
--- a/src/main/java/bramblespool/state/EventLog.java
+++ b/src/main/java/bramblespool/state/EventLog.java
@@ -34,6 +34,7 @@
         PROCESS_PAUSED(109, Level.WARN),
         OVERLOADED(110, Level.WARN),
         OVERLOAD_CLEARED(111, Level.INFO),
+        INVARIANT_VIOLATED(112, Level.ERROR),
         SERVER_REGISTERED(201, Level.INFO),
         SERVER_DRAINING(202, Level.INFO),
         SERVER_DEREGISTERED(203, Level.INFO),
@@ -88,7 +89,8 @@
         ATTEMPT_FAILED(701, Level.DEBUG),
         BAD_REQUEST(703, Level.DEBUG),
         ADMISSION_UNAVAILABLE(704, Level.DEBUG),
-        IDEMPOTENCY_KEY_IN_USE(705, Level.DEBUG);
+        IDEMPOTENCY_KEY_IN_USE(705, Level.DEBUG),
+        CLIENT_CLOSED(706, Level.DEBUG);
 
         private final int number;
         private final Level level;
--- a/src/test/java/bramblespool/cli/CommandLineTest.java
+++ b/src/test/java/bramblespool/cli/CommandLineTest.java
@@ -37,6 +37,18 @@
         Bramblespool.replaceFormerSubcommand(new String[0]);
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "sidecar,true",
+        "controller --metrics-port 9464,true",
+        "gateway --metrics-port x,false",
+        "status --metrics-port 1,false",
+        "sidecar --log-level debug,false"
+    })
+    void roleWithAtMostMetricsPortSkipsOptionParser(String line, boolean isPlain) {
+        assertEquals(isPlain, Bramblespool.isPlainStart(line.split(" ")));
+    }
+
     @Test
     void helpShowsPresentNamesOnly() {
         CommandLine commandLine = new CommandLine(new Commands());
@@ -68,7 +80,10 @@
         TreeMap<String, String> machineClasses = new TreeMap<>();
         roles.fields().forEachRemaining(role -> {
             String run = role.getValue().path("run").asText();
-            assertEquals(role.getKey(), run.substring(run.lastIndexOf(' ') + 1));
+            String[] arguments = run.substring(run.indexOf(".jar ") + ".jar ".length()).split(" ");
+            assertTrue(Bramblespool.isPlainStart(arguments), run);
+            assertEquals(role.getKey(), arguments[0]);
+            assertEquals(role.getValue().path("metrics").asText(), arguments[2] + "/metrics");
             machineClasses.put(role.getKey(), role.getValue().path("on").asText());
         });
         assertEquals(new TreeMap<>(ProcessLauncher.MACHINE_CLASSES), machineClasses);
--- a/src/test/java/bramblespool/proxy/SocketTestContext.java
+++ b/src/test/java/bramblespool/proxy/SocketTestContext.java
@@ -7,6 +7,7 @@
 import bramblespool.protocol.Heartbeat;
 import bramblespool.state.EventLog;
 import bramblespool.state.InvalidSettingsException;
+import bramblespool.state.Metrics;
 import bramblespool.state.RoutingConfiguration;
 import bramblespool.state.RoutingConfigurationParser;
 import bramblespool.state.Settings;
@@ -117,6 +118,9 @@
 
     final ManualClock clock = new ManualClock();
     final ServerStandIn.Recorder recorder = new ServerStandIn.Recorder();
+    /** The counters of all proxies of this context. */
+    final Metrics metrics = new Metrics(EventLog.silent());
+
     final HttpPeerTransport transport;
     private final List<Listeners> listeners = new ArrayList<>();
     private final List<ServerStandIn> standIns = new ArrayList<>();
@@ -148,11 +152,12 @@
                         clock,
                         node.shadowCommit,
                         node.admissions,
-                        new ServerForwarder(clock, upstream, null, NEVER_MS, NEVER_MS),
+                        new ServerForwarder(clock, upstream, null, metrics, NEVER_MS, NEVER_MS),
                         nodeListeners.bufferPool(),
                         "desk",
                         (from, versionMark) -> {},
-                        () -> false);
+                        () -> false,
+                        metrics);
             }));
             firstInbound = firstInbound == null ? address : firstInbound;
             endpoints.add(endpointEntry(address, "desk"));
@@ -172,7 +177,7 @@
             return new OutboundHandler(
                     clock,
                     node,
-                    new ServerForwarder(clock, upstream, null, NEVER_MS, NEVER_MS),
+                    new ServerForwarder(clock, upstream, null, metrics, NEVER_MS, NEVER_MS),
                     upstream,
                     nodeListeners.bufferPool(),
                     "out",
@@ -185,6 +190,7 @@
                         @Override
                         public void onVersionMismatch() {}
                     },
+                    metrics,
                     EventLog.silent());
         }));
     }
