--- a/src/test/java/bramblespool/cli/CommandLineTest.java
+++ b/src/test/java/bramblespool/cli/CommandLineTest.java
@@ -80,7 +80,8 @@
         TreeMap<String, String> machineClasses = new TreeMap<>();
         roles.fields().forEachRemaining(role -> {
             String run = role.getValue().path("run").asText();
-            String[] arguments = run.substring(run.indexOf(".jar ") + ".jar ".length()).split(" ");
+            String[] arguments =
+                    run.substring(run.indexOf(".jar ") + ".jar ".length()).split(" ");
             assertTrue(Bramblespool.isPlainStart(arguments), run);
             assertEquals(role.getKey(), arguments[0]);
             assertEquals(role.getValue().path("metrics").asText(), arguments[2] + "/metrics");
--- a/src/test/java/bramblespool/proxy/ServerStandIn.java
+++ b/src/test/java/bramblespool/proxy/ServerStandIn.java
@@ -7,6 +7,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -45,6 +47,8 @@
     static final class Recorder {
         final List<ReceivedRequest> requests = new CopyOnWriteArrayList<>();
         final List<String> executedIds = new CopyOnWriteArrayList<>();
+        /** Requests with the fault {@code hold} whose connection was closed while the stand-in held them. */
+        final List<String> abandonedIds = new CopyOnWriteArrayList<>();
         /** The request with the fault has arrived. */
         final CountDownLatch faultReached = new CountDownLatch(1);
         /** The fault may proceed. */
@@ -78,6 +82,8 @@
         }
     }
 
+    private static final int HOLD_POLL_MS = 10;
+
     private final Hop hop;
     private final Recorder recorder;
     private final ServerSocket socket;
@@ -157,6 +163,10 @@
                 if (fault.equals("late") || fault.equals("frozen") || fault.equals("silence")) {
                     Recorder.await(recorder.mayProceed);
                 }
+                if (fault.equals("hold") && isClosedWhileHeld(client)) {
+                    recorder.abandonedIds.add(id);
+                    return;
+                }
                 if (fault.equals("frozen")) {
                     recorder.executedIds.add(id);
                     recorder.faultFinished.countDown();
@@ -190,6 +200,27 @@
         }
     }
 
+    /** Waits until the test lets the response proceed, or until the connection ends; returns whether it has ended. */
+    private boolean isClosedWhileHeld(Socket client) throws IOException {
+        client.setSoTimeout(HOLD_POLL_MS);
+        try {
+            while (recorder.mayProceed.getCount() > 0) {
+                try {
+                    if (client.getInputStream().read() < 0) {
+                        return true;
+                    }
+                    throw new IOException("bytes behind a request that is not answered yet");
+                } catch (SocketTimeoutException e) {
+                    // It is still open.
+                }
+            }
+        } catch (SocketException e) {
+            return true;
+        }
+        client.setSoTimeout(0);
+        return false;
+    }
+
     /** The bytes of the response, whose body names its request or repeats its message. */
     private String responseFor(String fault, String requestId, String requestBody) {
         String responseBody = hop == Hop.MESSAGE ? requestBody == null ? "{}" : requestBody : "ran " + requestId;
--- a/src/test/java/bramblespool/proxy/SocketTestContext.java
+++ b/src/test/java/bramblespool/proxy/SocketTestContext.java
@@ -7,6 +7,7 @@
 import bramblespool.protocol.Heartbeat;
 import bramblespool.state.EventLog;
 import bramblespool.state.InvalidSettingsException;
+import bramblespool.state.Metric;
 import bramblespool.state.Metrics;
 import bramblespool.state.RoutingConfiguration;
 import bramblespool.state.RoutingConfigurationParser;
@@ -123,6 +124,7 @@
 
     final HttpPeerTransport transport;
     private final List<Listeners> listeners = new ArrayList<>();
+    private final List<DataPlaneNode> serverNodes = new ArrayList<>();
     private final List<ServerStandIn> standIns = new ArrayList<>();
     private final String outboundAddress;
     /** The address at which a real proxy takes requests of other proxies. */
@@ -144,6 +146,7 @@
         for (int i = 0; i < 2; i++) {
             String serverAddress = startStandIn(ServerStandIn.Hop.SERVER);
             DataPlaneNode node = newDataPlaneNode("in-" + i, "desk", serverAddress, configuration);
+            serverNodes.add(node);
             Listeners nodeListeners = newListeners();
             String address = listen(nodeListeners, runOnLoop(() -> {
                 node.onHeartbeat(new Heartbeat("i-1", "desk", serverAddress, "z", 8, false, 0, 1));
@@ -341,6 +344,31 @@
         });
     }
 
+    /** Requests queued for or running at the servers; on the event loop. */
+    int serverLoad() {
+        return serverNodes.stream().mapToInt(node -> node.admissions.load()).sum();
+    }
+
+    /** Waits until a condition on the proxies' state holds. */
+    static void awaitOnLoop(String what, Callable<Boolean> condition) {
+        long startNs = System.nanoTime();
+        while (!runOnLoop(condition)) {
+            if (System.nanoTime() - startNs > TimeUnit.SECONDS.toNanos(HANG_TIMEOUT_S)) {
+                throw new AssertionError("not within " + HANG_TIMEOUT_S + " s: " + what);
+            }
+        }
+    }
+
+    /** Waits until a counter of the proxies has reached a value. */
+    void awaitCount(Metric metric, long count) {
+        awaitOnLoop(metric + " reaches " + count, () -> metrics.count(metric) >= count);
+    }
+
+    /** The value of a counter. */
+    long count(Metric metric) {
+        return runOnLoop(() -> metrics.count(metric));
+    }
+
     /** A connection to the proxy that takes clients' requests. */
     Socket connectAsClient() throws IOException {
         return connect(outboundAddress);
