Divide OutboundHandler and InboundHandler by concern

Change: RequestResolver (head to route), ProxiedExchange (one request's attempts), ServerAttempt and PeerAttempt with their forwarders, AttemptResult, ForwardedRequest, RouteResolution.

--- a/src/main/java/bramblespool/process/ProxyProcess.java
+++ b/src/main/java/bramblespool/process/ProxyProcess.java
@@ -5,6 +5,7 @@
 import bramblespool.proxy.IdleConnections;
 import bramblespool.proxy.InboundHandler;
 import bramblespool.proxy.OutboundHandler;
+import bramblespool.proxy.PeerForwarder;
 import bramblespool.proxy.ServerForwarder;
 import bramblespool.state.EventLog;
 import bramblespool.state.EventLog.Event;
@@ -64,39 +65,17 @@
         transport.setRequestHandler(dataPlaneNode);
         ServerForwarder forwarder = new ServerForwarder(
                 eventLoop, upstream, dataPlaneNode.usageCounter, metrics, connectTimeoutMs, bounds.quietPeriodMs());
-        outboundHandler = new OutboundHandler(
+        PeerForwarder peerForwarder = new PeerForwarder(
                 eventLoop,
-                dataPlaneNode,
-                forwarder,
+                dataPlaneNode.endpointDirectory,
                 upstream,
-                listeners.bufferPool(),
-                settings.node(),
-                localService == null ? "" : localService,
                 new UpstreamClient.ConnectionOptions(
                         connectTimeoutMs, PEER_IDLE_TIMEOUT_MS / 2, ServerForwarder.MAX_BUFFERED_BYTES),
-                new OutboundHandler.ProxyObserver() {
-                    @Override
-                    public void onProxySilent(EndpointDirectory.Proxy proxy) {
-                        dataPlaneNode.ping(proxy);
-                    }
-
-                    @Override
-                    public void onVersionMismatch() {
-                        dataPlaneNode.onVersionMismatch();
-                    }
-                },
-                metrics,
-                log);
-        InboundHandler inboundHandler = new InboundHandler(
-                eventLoop,
-                dataPlaneNode.shadowCommit,
-                dataPlaneNode.admissions,
-                forwarder,
-                listeners.bufferPool(),
-                localService,
-                dataPlaneNode::onVersionMark,
-                dataPlaneNode::hasLeft,
+                new PeerForwarder.Sender(settings.node(), localService == null ? "" : localService),
+                proxyObserver(dataPlaneNode),
                 metrics);
+        outboundHandler = new OutboundHandler(eventLoop, dataPlaneNode, forwarder, peerForwarder, metrics, log);
+        InboundHandler inboundHandler = new InboundHandler(eventLoop, dataPlaneNode, forwarder, localService, metrics);
         listeners.listen(settings.peerAddress(), transport, peerListenerOptions());
         listeners.listen(
                 settings.inboundAddress(),
@@ -108,6 +87,20 @@
                 listeners.listen(settings.outboundAddress(), this::handleClientRequest, clientListenerOptions());
     }
 
+    private static PeerForwarder.ProxyObserver proxyObserver(DataPlaneNode dataPlaneNode) {
+        return new PeerForwarder.ProxyObserver() {
+            @Override
+            public void onProxySilent(EndpointDirectory.Proxy proxy) {
+                dataPlaneNode.ping(proxy);
+            }
+
+            @Override
+            public void onVersionMismatch() {
+                dataPlaneNode.onVersionMismatch();
+            }
+        };
+    }
+
     /** Starts the node; to be called once all listeners are open. */
     final void startServing() {
         dataPlaneNode.start();
--- a/src/main/java/bramblespool/proxy/InboundHandler.java
+++ b/src/main/java/bramblespool/proxy/InboundHandler.java
@@ -1,23 +1,17 @@
 package bramblespool.proxy;
 
-import bramblespool.coordination.configuration.ShadowCommitParticipant;
-import bramblespool.coordination.traffic.ServerAdmission;
-import bramblespool.coordination.traffic.ServerAdmissions;
+import bramblespool.coordination.dataplane.DataPlaneNode;
 import bramblespool.protocol.ExecutionOutcome;
 import bramblespool.protocol.HeaderNames;
 import bramblespool.state.Metric;
 import bramblespool.state.Metrics;
-import bramblespool.state.Route;
 import bramblespool.transport.BodyStream;
 import bramblespool.transport.Clock;
-import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
-import java.util.function.BiConsumer;
-import java.util.function.BooleanSupplier;
 
 /**
  * Requests from other proxies: the version mark selects the routing configuration, the server's admission decides, and
@@ -25,78 +19,21 @@
  */
 public final class InboundHandler implements HttpHandler {
     private final Clock clock;
-    private final ShadowCommitParticipant shadowCommit;
-    private final ServerAdmissions serverAdmissions;
+    private final DataPlaneNode dataPlaneNode;
     private final ServerForwarder forwarder;
-    private final ByteBufferPool bufferPool;
     /** The service of this machine's server, or null in a gateway, where callers name the service. */
     private final String localService;
 
-    private final BiConsumer<String, String> onVersionMark;
-    private final BooleanSupplier hasLeft;
     private final Metrics metrics;
 
-    /**
-     * @param localService the service of this machine's server; null in a gateway
-     * @param onVersionMark gets the caller's node and its version mark, each possibly null, for each request
-     * @param hasLeft whether this proxy has announced that it leaves
-     */
+    /** {@code localService}: the service of this machine's server; null in a gateway. */
     public InboundHandler(
-            Clock clock,
-            ShadowCommitParticipant shadowCommit,
-            ServerAdmissions serverAdmissions,
-            ServerForwarder forwarder,
-            ByteBufferPool bufferPool,
-            String localService,
-            BiConsumer<String, String> onVersionMark,
-            BooleanSupplier hasLeft,
-            Metrics metrics) {
-        this.hasLeft = hasLeft;
-        this.metrics = metrics;
+            Clock clock, DataPlaneNode dataPlaneNode, ServerForwarder forwarder, String localService, Metrics metrics) {
         this.clock = clock;
-        this.shadowCommit = shadowCommit;
-        this.serverAdmissions = serverAdmissions;
+        this.dataPlaneNode = dataPlaneNode;
         this.forwarder = forwarder;
-        this.bufferPool = bufferPool;
         this.localService = localService;
-        this.onVersionMark = onVersionMark;
-    }
-
-    /**
-     * The route by which a request may be forwarded to a server of the service, and the server's admission.
-     *
-     * @param rejectionReason why it may not; null where it may
-     */
-    record RouteResolution(Route route, int rank, ServerAdmission serverAdmission, String rejectionReason) {
-        private static RouteResolution rejected(String reason) {
-            return new RouteResolution(null, 0, null, reason);
-        }
-
-        static RouteResolution resolve(
-                ShadowCommitParticipant shadowCommit,
-                ServerAdmissions serverAdmissions,
-                String versionMark,
-                HeaderMap headers,
-                String path,
-                String service) {
-            if (service == null) {
-                return rejected("none");
-            }
-            ShadowCommitParticipant.ResolvedVersion choice = shadowCommit.resolve(versionMark);
-            if (!choice.isKnown()) {
-                return rejected("mark");
-            }
-            if (choice.isShadow()) {
-                return rejected("test");
-            }
-            Route route = choice.configuration().route(headers.getFirst(Headers.HOST), path);
-            if (route == null || !route.routesTo(service)) {
-                return rejected("route");
-            }
-            ServerAdmission serverAdmission = serverAdmissions.leastLoaded(service);
-            int rank = choice.configuration().priority(route, headers.getFirst(HeaderNames.TENANT));
-            return serverAdmission == null ? rejected("none") : new RouteResolution(route, rank, serverAdmission, null);
-        }
+        this.metrics = metrics;
     }
 
     @Override
@@ -105,6 +42,7 @@
     }
 
     private void accept(HttpServerExchange exchange) {
+        HeaderMap headers = exchange.getRequestHeaders();
         long remainingMs = Replies.positiveNumber(exchange, HeaderNames.DEADLINE);
         String framingFault = Replies.framingFault(exchange);
         if (framingFault != null || remainingMs <= 0) {
@@ -113,62 +51,61 @@
             return;
         }
         long deadlineMs = clock.nowMs() + remainingMs;
-        String versionMark = exchange.getRequestHeaders().getFirst(HeaderNames.VERSION_MARK);
-        onVersionMark.accept(exchange.getRequestHeaders().getFirst(HeaderNames.SENDER_NODE), versionMark);
-        String requestedService = exchange.getRequestHeaders().getFirst(HeaderNames.TARGET_SERVICE);
+        String versionMark = headers.getFirst(HeaderNames.VERSION_MARK);
+        dataPlaneNode.onVersionMark(headers.getFirst(HeaderNames.SENDER_NODE), versionMark);
+        String requestedService = headers.getFirst(HeaderNames.TARGET_SERVICE);
         String service = requestedService == null ? localService : requestedService;
         if (localService != null && !localService.equals(service)) {
             // This address belonged to another service before, and the caller is not up to date.
-            reject(exchange, localService, "none", 0, false);
+            reject(exchange, localService, AttemptResult.notExecuted(RouteResolution.NO_SERVER, 0, false));
             return;
         }
         RouteResolution resolution = RouteResolution.resolve(
-                shadowCommit,
-                serverAdmissions,
+                dataPlaneNode.shadowCommit,
+                dataPlaneNode.admissions,
                 versionMark,
-                exchange.getRequestHeaders(),
+                headers,
                 Replies.requestPath(exchange),
                 service);
-        if (resolution.serverAdmission == null) {
-            reject(exchange, service, resolution.rejectionReason, 0, false);
+        if (resolution.isRejected()) {
+            reject(exchange, service, AttemptResult.notExecuted(resolution.rejectionReason(), 0, false));
             return;
         }
-        if (hasLeft.getAsBoolean()) {
+        if (dataPlaneNode.hasLeft()) {
             exchange.setPersistent(false);
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-            reject(exchange, service, "leaving", 0, false);
+            reject(exchange, service, AttemptResult.notExecuted("leaving", 0, false));
             return;
         }
         BodyStream.read(
                 exchange.getRequestChannel(),
-                bufferPool,
+                exchange.getConnection().getByteBufferPool(),
                 ServerForwarder.MAX_BUFFERED_BYTES,
-                body -> {
-                    countExchange(exchange);
-                    ServerForwarder.ForwardedRequest request = new ServerForwarder.ForwardedRequest(
-                            exchange.getRequestMethod(),
-                            Replies.requestTarget(exchange),
-                            exchange.getRequestHeaders(),
-                            body,
-                            attemptId(exchange),
-                            callerService(exchange),
-                            deadlineMs);
-                    forwarder.forward(
-                            resolution.serverAdmission,
-                            request,
-                            resolution.route,
-                            resolution.rank,
-                            (result, relayCompletion) -> reply(exchange, service, result, relayCompletion));
-                },
+                body -> forward(exchange, resolution, service, body, deadlineMs),
                 e -> exchange.endExchange());
     }
 
-    private void countExchange(HttpServerExchange exchange) {
+    private void forward(
+            HttpServerExchange exchange,
+            RouteResolution resolution,
+            String service,
+            BodyStream.Body body,
+            long deadlineMs) {
         metrics.increment(Metric.FORWARDED_READ);
         exchange.addExchangeCompleteListener((done, next) -> {
             metrics.increment(done.isResponseComplete() ? Metric.FORWARDED_ANSWERED : Metric.FORWARDED_CLIENT_CLOSED);
             next.proceed();
         });
+        ForwardedRequest request = new ForwardedRequest(
+                exchange.getRequestMethod(),
+                Replies.requestTarget(exchange),
+                exchange.getRequestHeaders(),
+                body,
+                attemptId(exchange),
+                callerService(exchange),
+                deadlineMs);
+        forwarder.forward(
+                resolution, request, (result, relayCompletion) -> reply(exchange, service, result, relayCompletion));
     }
 
     /** Every response names the attempt it answers, so that it cannot be mistaken for an answer to another one. */
@@ -184,32 +121,35 @@
     private void reply(
             HttpServerExchange exchange,
             String service,
-            ServerForwarder.Result result,
-            ServerForwarder.RelayCompletion relayCompletion) {
-        if (result.outcome() == ExecutionOutcome.ANSWERED) {
+            AttemptResult result,
+            AttemptResult.RelayCompletion relayCompletion) {
+        if (result.isAnswered()) {
             exchange.getResponseHeaders()
                     .put(HeaderNames.EXECUTION_OUTCOME, result.outcome().code)
-                    .put(HeaderNames.SERVER_LOAD, serverAdmissions.load(service));
-            Replies.relay(exchange, result.response(), bufferPool, relayCompletion);
+                    .put(HeaderNames.SERVER_LOAD, dataPlaneNode.admissions.load(service));
+            Replies.relay(exchange, result.response(), relayCompletion);
         } else if (result.outcome() == ExecutionOutcome.NOT_EXECUTED) {
-            reject(exchange, service, result.reason(), result.retryAfterMs(), result.hasReachedServer());
+            reject(exchange, service, result);
         } else {
-            exchange.getResponseHeaders()
-                    .put(HeaderNames.ATTEMPT_ID, attemptId(exchange))
-                    .put(HeaderNames.EXECUTION_OUTCOME, result.outcome().code)
-                    .put(HeaderNames.SERVER_LOAD, serverAdmissions.load(service))
-                    .put(HeaderNames.REASON, result.reason().replaceAll("[^ -~]", "?"));
+            putOutcome(exchange, service, result.outcome(), result.reason().replaceAll("[^ -~]", "?"));
             Replies.sendText(exchange, 502, "");
         }
     }
 
-    private void reject(
-            HttpServerExchange exchange, String service, String reason, long retryAfterMs, boolean hasReachedServer) {
+    private void reject(HttpServerExchange exchange, String service, AttemptResult result) {
+        putOutcome(
+                exchange,
+                service,
+                result.outcome(),
+                result.hasReachedServer() ? result.reason() + PeerAttempt.REACHED_SERVER_SUFFIX : result.reason());
+        Replies.sendUnavailable(exchange, result.retryAfterMs(), "");
+    }
+
+    private void putOutcome(HttpServerExchange exchange, String service, ExecutionOutcome outcome, String reason) {
         exchange.getResponseHeaders()
                 .put(HeaderNames.ATTEMPT_ID, attemptId(exchange))
-                .put(HeaderNames.EXECUTION_OUTCOME, ExecutionOutcome.NOT_EXECUTED.code)
-                .put(HeaderNames.SERVER_LOAD, serverAdmissions.load(service))
-                .put(HeaderNames.REASON, hasReachedServer ? reason + "!" : reason);
-        Replies.sendUnavailable(exchange, retryAfterMs, "");
+                .put(HeaderNames.EXECUTION_OUTCOME, outcome.code)
+                .put(HeaderNames.SERVER_LOAD, dataPlaneNode.admissions.load(service))
+                .put(HeaderNames.REASON, reason);
     }
 }
--- /dev/null
+++ b/src/main/java/bramblespool/proxy/ProxiedExchange.java
@@ -0,0 +1,382 @@
+package bramblespool.proxy;
+
+import bramblespool.coordination.configuration.ShadowCommitParticipant;
+import bramblespool.coordination.dataplane.DataPlaneNode;
+import bramblespool.coordination.membership.EndpointDirectory;
+import bramblespool.coordination.tenancy.IdempotencyTable;
+import bramblespool.coordination.tenancy.RequestAdmission;
+import bramblespool.protocol.ExecutionOutcome;
+import bramblespool.protocol.HeaderNames;
+import bramblespool.state.EventLog;
+import bramblespool.state.EventLog.Event;
+import bramblespool.state.Metrics;
+import bramblespool.state.Route;
+import bramblespool.state.Service;
+import bramblespool.state.Tenant;
+import bramblespool.transport.BodyStream;
+import bramblespool.transport.Clock;
+import bramblespool.transport.UpstreamClient;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * A client's request in progress, from its admission to its one response. It is sent to one endpoint after the other
+ * until one answers, its deadline passes or nothing more may be tried. Confined to the event loop.
+ */
+final class ProxiedExchange implements RequestAdmission.AdmissionHandler {
+    /** What all exchanges of a proxy share. */
+    record Services(
+            Clock clock,
+            DataPlaneNode dataPlaneNode,
+            RequestAdmission requestAdmission,
+            ServerForwarder serverForwarder,
+            PeerForwarder peerForwarder,
+            Metrics metrics,
+            EventLog log) {
+
+        private ShadowCommitParticipant shadowCommit() {
+            return dataPlaneNode.shadowCommit;
+        }
+
+        private EndpointDirectory endpointDirectory() {
+            return dataPlaneNode.endpointDirectory;
+        }
+
+        private String localService() {
+            return peerForwarder.sender().service();
+        }
+    }
+
+    /** Endpoints that one request is sent to at most; a rejection by an admission does not count as an arrival. */
+    private static final int MAX_ENDPOINTS_TRIED = 4;
+    /** Time before the deadline that a retry needs. */
+    private static final long MIN_RETRY_TIME_MS = 15;
+
+    private static final long DEFAULT_RETRY_AFTER_MS = RequestResolver.DEFAULT_RETRY_AFTER_MS;
+    /** Statuses that promise a client that its request was not executed. */
+    private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 421, 429, 503);
+    /** Admission may take the latency target, or the remaining time where that is less, divided by this. */
+    private static final int ADMISSION_WAIT_DIVISOR = 2;
+
+    private final Services services;
+    private final HttpServerExchange exchange;
+    private final RequestResolver.ResolvedRequest resolved;
+    private final Route route;
+    private final ForwardedRequest request;
+    private final String versionMark;
+    private final Set<EndpointDirectory.Endpoint> triedEndpoints = new HashSet<>();
+    private Clock.Timer deadlineTimer;
+    private int serverArrivals;
+    private long shortestRetryAfterMs;
+    private RequestAttempt currentAttempt;
+    private boolean isFinished;
+    private boolean mayHaveExecuted;
+    /** The claimed operation, where the request has an idempotency key and the claim was won. */
+    private IdempotencyTable.Operation operation;
+
+    /** {@code versionMark}: of the version in force when the request's head arrived. */
+    ProxiedExchange(
+            Services services,
+            HttpServerExchange exchange,
+            RequestResolver.ResolvedRequest resolved,
+            String versionMark,
+            BodyStream.Body body) {
+        this.services = services;
+        this.exchange = exchange;
+        this.resolved = resolved;
+        this.route = resolved.route();
+        this.versionMark = versionMark;
+        this.request = new ForwardedRequest(
+                exchange.getRequestMethod(),
+                Replies.requestTarget(exchange),
+                exchange.getRequestHeaders(),
+                body,
+                exchange.getRequestHeaders().getFirst(HeaderNames.ATTEMPT_ID),
+                services.localService(),
+                resolved.deadlineMs());
+    }
+
+    private long remainingMs() {
+        return resolved.deadlineMs() - services.clock.nowMs();
+    }
+
+    /** Asks for admission; the first attempt follows. */
+    void start() {
+        deadlineTimer = services.clock.schedule(Math.max(1, remainingMs()), this::onDeadline);
+        long targetMs = route.latencyTargetMs() > 0 ? route.latencyTargetMs() : remainingMs();
+        services.requestAdmission.admit(
+                admissionRequest(), Math.max(1, Math.min(targetMs, remainingMs()) / ADMISSION_WAIT_DIVISOR), this);
+    }
+
+    private RequestAdmission.AdmissionRequest admissionRequest() {
+        Tenant tenant = resolved.tenant();
+        Tenant limitedTenant = tenant != null && tenant.ratePerSecond() > 0 ? tenant : null;
+        String tenantName = tenant == null ? "" : tenant.name();
+        long epoch = resolved.configuration().epoch();
+        if (!route.isKeyed()) {
+            return new RequestAdmission.AdmissionRequest(tenantName, limitedTenant, epoch, null, 0);
+        }
+        // Without a tenant the key belongs to the calling service.
+        String keyOwner = tenant == null ? "~" + services.localService() : tenantName;
+        var admissionClient = services.dataPlaneNode.admissionClient;
+        return new RequestAdmission.AdmissionRequest(
+                keyOwner,
+                limitedTenant,
+                epoch,
+                admissionClient.registerId(keyOwner, request.headers().getFirst(HeaderNames.OPERATION_KEY)),
+                admissionClient.fingerprint(
+                        request.method().toString(),
+                        request.headers().getFirst(Headers.HOST),
+                        request.requestTarget(),
+                        request.body().prefix()));
+    }
+
+    @Override
+    public void proceed(IdempotencyTable.Operation claimed) {
+        operation = claimed;
+        if (isFinished) {
+            recordOutcome(ExecutionOutcome.NOT_EXECUTED, null);
+            return;
+        }
+        startNextAttempt();
+    }
+
+    @Override
+    public void reject(int status, long retryMs, String reason) {
+        if (isFinished) {
+            return;
+        }
+        finish();
+        if (retryMs > 0) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Replies.formatSeconds(retryMs));
+        }
+        Replies.sendText(exchange, status, reason);
+    }
+
+    @Override
+    public void replay(IdempotencyTable.StoredResponse response) {
+        if (isFinished) {
+            return;
+        }
+        finish();
+        Replies.replay(exchange, response);
+    }
+
+    private void finish() {
+        isFinished = true;
+        deadlineTimer.cancel();
+    }
+
+    /** Records the outcome of the operation, for repeated requests. */
+    private void recordOutcome(ExecutionOutcome outcome, UpstreamClient.Response response) {
+        if (operation == null) {
+            return;
+        }
+        IdempotencyTable idempotencyTable = services.dataPlaneNode.idempotencyTable;
+        if (outcome == ExecutionOutcome.ANSWERED) {
+            idempotencyTable.recordResponse(operation, Replies.toStoredResponse(response));
+        } else if (outcome == ExecutionOutcome.NOT_EXECUTED || deduplicatesKeys()) {
+            idempotencyTable.markIdle(operation);
+        } else {
+            idempotencyTable.markUnknown(operation);
+        }
+    }
+
+    /** Whether the service deduplicates keys itself, so that a request with an unknown outcome may be sent again. */
+    private boolean deduplicatesKeys() {
+        Service service = resolved.configuration().service(resolved.service());
+        return service != null && service.deduplicatesItself();
+    }
+
+    private void recordUnanswered() {
+        boolean isUnknown = currentAttempt != null || mayHaveExecuted;
+        recordOutcome(isUnknown ? ExecutionOutcome.POSSIBLY_EXECUTED : ExecutionOutcome.NOT_EXECUTED, null);
+    }
+
+    private void onDeadline() {
+        if (isFinished) {
+            return;
+        }
+        finish();
+        recordUnanswered();
+        if (currentAttempt != null) {
+            currentAttempt.abandon();
+        }
+        Replies.sendText(exchange, 504, "deadline");
+    }
+
+    private void startNextAttempt() {
+        EndpointDirectory.Endpoint endpoint = triedEndpoints.size() < MAX_ENDPOINTS_TRIED
+                ? services.endpointDirectory().chooseEndpoint(resolved.service(), triedEndpoints)
+                : null;
+        if (endpoint == null) {
+            giveUp(
+                    shortestRetryAfterMs > 0
+                            ? shortestRetryAfterMs
+                            : DEFAULT_RETRY_AFTER_MS + (long) (services.clock.random() * DEFAULT_RETRY_AFTER_MS),
+                    "no server available");
+            return;
+        }
+        triedEndpoints.add(endpoint);
+        services.endpointDirectory().onRequestStarted(endpoint);
+        currentAttempt = new RequestAttempt(endpoint);
+        currentAttempt.start();
+    }
+
+    private void onAttemptEnded(
+            RequestAttempt attempt, AttemptResult result, AttemptResult.RelayCompletion relayCompletion) {
+        if (isFinished) {
+            if (relayCompletion != null) {
+                relayCompletion.onRelayed(false);
+            }
+            return;
+        }
+        currentAttempt = null;
+        if (result.hasReachedServer()) {
+            serverArrivals++;
+        }
+        if (result.isAnswered() && !isFalsePromise(result)) {
+            finish();
+            recordOutcome(ExecutionOutcome.ANSWERED, result.response());
+            Replies.relay(exchange, result.response(), relayCompletion);
+            return;
+        }
+        if (relayCompletion != null) {
+            relayCompletion.onRelayed(false);
+        }
+        onAttemptFailed(
+                attempt,
+                result.isAnswered() ? AttemptResult.possiblyExecuted("status without X-Not-Executed") : result);
+    }
+
+    /** Whether forwarding a server's status would promise that the request was not executed, which it did not say. */
+    private boolean isFalsePromise(AttemptResult result) {
+        return !route.isIdempotent()
+                && NOT_EXECUTED_STATUSES.contains(result.response().statusCode());
+    }
+
+    private void onAttemptFailed(RequestAttempt attempt, AttemptResult result) {
+        mayHaveExecuted |= result.outcome() == ExecutionOutcome.POSSIBLY_EXECUTED;
+        if (result.retryAfterMs() > 0) {
+            shortestRetryAfterMs = shortestRetryAfterMs == 0
+                    ? result.retryAfterMs()
+                    : Math.min(shortestRetryAfterMs, result.retryAfterMs());
+        }
+        if (RouteResolution.isVersionMismatch(result.reason())) {
+            services.peerForwarder.proxyObserver.onVersionMismatch();
+        }
+        services.log.log(
+                Event.ATTEMPT_FAILED,
+                "route",
+                route.name(),
+                "endpoint",
+                attempt.endpoint.proxy.node,
+                "outcome",
+                result.outcome(),
+                "cause",
+                result.reason());
+        if (mayRetry(result)) {
+            startNextAttempt();
+        } else {
+            giveUp(shortestRetryAfterMs > 0 ? shortestRetryAfterMs : DEFAULT_RETRY_AFTER_MS, result.reason());
+        }
+    }
+
+    /** Whether the request may be sent again; takes a retry from the budget where a server was reached. */
+    private boolean mayRetry(AttemptResult result) {
+        if (!request.body().isComplete() || remainingMs() <= MIN_RETRY_TIME_MS) {
+            return false;
+        }
+        if (result.outcome() != ExecutionOutcome.NOT_EXECUTED && !route.isIdempotent()) {
+            return false;
+        }
+        return !result.hasReachedServer()
+                || serverArrivals < route.maxAttempts()
+                        && services.dataPlaneNode.retryBudget.tryAcquire(resolved.service(), services.clock.nowMs());
+    }
+
+    /** Whether a request that may be executing at a silent proxy may be sent to another one as well. */
+    private boolean mayHedge() {
+        return route.isIdempotent()
+                && request.body().isComplete()
+                && serverArrivals + 1 < route.maxAttempts()
+                && triedEndpoints.size() < MAX_ENDPOINTS_TRIED
+                && services.dataPlaneNode.retryBudget.hasRetry(resolved.service(), services.clock.nowMs())
+                && remainingMs() > MIN_RETRY_TIME_MS;
+    }
+
+    /** The final response: it promises that the request was not executed only if that holds for every attempt. */
+    private void giveUp(long retryAfterMs, String reason) {
+        finish();
+        recordOutcome(mayHaveExecuted ? ExecutionOutcome.POSSIBLY_EXECUTED : ExecutionOutcome.NOT_EXECUTED, null);
+        if (mayHaveExecuted) {
+            Replies.sendText(exchange, 502, reason);
+        } else {
+            Replies.sendUnavailable(exchange, retryAfterMs, reason);
+        }
+    }
+
+    /** One attempt at one endpoint: at a server of this proxy, or by way of another proxy. */
+    private final class RequestAttempt {
+        private final EndpointDirectory.Endpoint endpoint;
+        /** Null where the endpoint is a server of this proxy. */
+        private PeerAttempt peerAttempt;
+
+        private boolean isCountedInFlight = true;
+
+        RequestAttempt(EndpointDirectory.Endpoint endpoint) {
+            this.endpoint = endpoint;
+        }
+
+        void start() {
+            if (endpoint.proxy.node.equals(services.peerForwarder.sender().node())) {
+                startLocally();
+                return;
+            }
+            peerAttempt = new PeerAttempt(
+                    services.peerForwarder, endpoint, request, ProxiedExchange.this::mayHedge, this::end);
+            peerAttempt.start(services.peerForwarder.outgoingHeaders(request, resolved.service(), versionMark));
+        }
+
+        private void startLocally() {
+            RouteResolution resolution = RouteResolution.resolve(
+                    services.shadowCommit(),
+                    services.dataPlaneNode.admissions,
+                    versionMark,
+                    request.headers(),
+                    Replies.requestPath(exchange),
+                    resolved.service());
+            if (resolution.isRejected()) {
+                end(AttemptResult.notExecuted(resolution.rejectionReason(), 0, false), null);
+                return;
+            }
+            services.serverForwarder.forward(resolution, request, (result, relayCompletion) -> {
+                services.endpointDirectory()
+                        .recordLoad(endpoint, services.dataPlaneNode.admissions.load(resolved.service()));
+                end(result, relayCompletion);
+            });
+        }
+
+        private void end(AttemptResult result, AttemptResult.RelayCompletion relayCompletion) {
+            releaseEndpoint();
+            onAttemptEnded(this, result, relayCompletion);
+        }
+
+        private void releaseEndpoint() {
+            if (isCountedInFlight) {
+                isCountedInFlight = false;
+                services.endpointDirectory().onRequestEnded(endpoint);
+            }
+        }
+
+        /** Nobody waits for its result any more. */
+        void abandon() {
+            if (peerAttempt != null) {
+                peerAttempt.abandon();
+            }
+            releaseEndpoint();
+        }
+    }
+}
--- a/src/main/java/bramblespool/proxy/Replies.java
+++ b/src/main/java/bramblespool/proxy/Replies.java
@@ -4,7 +4,6 @@
 import bramblespool.protocol.HeaderNames;
 import bramblespool.transport.BodyStream;
 import bramblespool.transport.UpstreamClient;
-import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
@@ -19,6 +18,13 @@
 
 /** Reading of requests' heads and sending of responses on Undertow's exchanges. Stateless; on the event loop. */
 public final class Replies {
+    /** Returned for a header that is absent. */
+    static final long ABSENT = -1;
+    /** Returned for a header that is no number above 0. */
+    static final long NOT_A_POSITIVE_NUMBER = -2;
+
+    private static final double MAX_NUMBER = 1e12;
+
     private Replies() {}
 
     /** Sends a short text; closes the connection where a response has been started. */
@@ -64,8 +70,7 @@
     static void relay(
             HttpServerExchange exchange,
             UpstreamClient.Response response,
-            ByteBufferPool bufferPool,
-            ServerForwarder.RelayCompletion relayCompletion) {
+            AttemptResult.RelayCompletion relayCompletion) {
         if (exchange.isResponseStarted()) {
             if (relayCompletion != null) {
                 relayCompletion.onRelayed(false);
@@ -91,7 +96,7 @@
         BodyStream.write(
                 response.body(),
                 exchange.getResponseChannel(),
-                bufferPool,
+                exchange.getConnection().getByteBufferPool(),
                 () -> {
                     relayCompletion.onRelayed(true);
                     exchange.endExchange();
@@ -155,16 +160,19 @@
         return positiveNumber(exchange.getRequestHeaders().getFirst(header));
     }
 
-    /** A number above 0, rounded up; -1 where {@code value} is null, -2 where it is no such number. */
+    /**
+     * A number above 0, rounded up; {@link #ABSENT} where {@code value} is null, {@link #NOT_A_POSITIVE_NUMBER} where it
+     * is no such number.
+     */
     public static long positiveNumber(String value) {
         if (value == null) {
-            return -1;
+            return ABSENT;
         }
         try {
             double number = Double.parseDouble(value.strip());
-            return number > 0 && number < 1e12 ? (long) Math.ceil(number) : -2;
+            return number > 0 && number < MAX_NUMBER ? (long) Math.ceil(number) : NOT_A_POSITIVE_NUMBER;
         } catch (NumberFormatException e) {
-            return -2;
+            return NOT_A_POSITIVE_NUMBER;
         }
     }
 
--- a/src/test/java/bramblespool/proxy/SocketTestContext.java
+++ b/src/test/java/bramblespool/proxy/SocketTestContext.java
@@ -153,13 +153,9 @@
                 UpstreamClient upstream = new UpstreamClient(EVENT_LOOP, nodeListeners.bufferPool());
                 return new InboundHandler(
                         clock,
-                        node.shadowCommit,
-                        node.admissions,
+                        node,
                         new ServerForwarder(clock, upstream, null, metrics, NEVER_MS, NEVER_MS),
-                        nodeListeners.bufferPool(),
                         "desk",
-                        (from, versionMark) -> {},
-                        () -> false,
                         metrics);
             }));
             firstInbound = firstInbound == null ? address : firstInbound;
@@ -177,22 +173,25 @@
                 node.endpointDirectory.onUpdate(new GossipStore.GossipEntry(
                         GossipKeys.PROXY_KEY_PREFIX + endpoint.path("inbound").asText(), 1, 1, endpoint));
             }
-            return new OutboundHandler(
+            PeerForwarder peerForwarder = new PeerForwarder(
                     clock,
-                    node,
-                    new ServerForwarder(clock, upstream, null, metrics, NEVER_MS, NEVER_MS),
+                    node.endpointDirectory,
                     upstream,
-                    nodeListeners.bufferPool(),
-                    "out",
-                    "own",
                     new UpstreamClient.ConnectionOptions(NEVER_MS, NEVER_MS, ServerForwarder.MAX_BUFFERED_BYTES),
-                    new OutboundHandler.ProxyObserver() {
+                    new PeerForwarder.Sender("out", "own"),
+                    new PeerForwarder.ProxyObserver() {
                         @Override
                         public void onProxySilent(EndpointDirectory.Proxy peer) {}
 
                         @Override
                         public void onVersionMismatch() {}
                     },
+                    metrics);
+            return new OutboundHandler(
+                    clock,
+                    node,
+                    new ServerForwarder(clock, upstream, null, metrics, NEVER_MS, NEVER_MS),
+                    peerForwarder,
                     metrics,
                     EventLog.silent());
         }));
