A client's close ends its request in the queue, at the other proxy and at the server

ExchangeMonitor and RequestCancellation check four invariants and count violations. A broken-off run counts as a latency sample where it exceeds the mean.

--- a/src/main/java/bramblespool/coordination/traffic/ServerAdmission.java
+++ b/src/main/java/bramblespool/coordination/traffic/ServerAdmission.java
@@ -115,6 +115,20 @@
             dispatchQueue();
         }
 
+        /** Takes the request out of the queue without a callback; has no effect on one that is not queued. */
+        public void cancel() {
+            cancelTimer();
+            queue.remove(this);
+        }
+
+        /**
+         * Frees the slot of a request that was broken off. Its time so far is a sample of the latency only where it
+         * exceeds the mean: a server that has become slow shows although its clients leave early.
+         */
+        public void releaseCancelled() {
+            release(clock.nowMs() - startedMs > meanLatencyByRoute.getDouble(route));
+        }
+
         /** Records whether the server succeeded, for its failure rate; to be called before {@link #release}. */
         public void recordOutcome(boolean isSuccess) {
             if (serverId != null && serverId.equals(currentServerId)) {
--- a/src/main/java/bramblespool/process/ProxyProcess.java
+++ b/src/main/java/bramblespool/process/ProxyProcess.java
@@ -65,6 +65,7 @@
         transport.setRequestHandler(dataPlaneNode);
         ServerForwarder forwarder = new ServerForwarder(
                 eventLoop, upstream, dataPlaneNode.usageCounter, metrics, connectTimeoutMs, bounds.quietPeriodMs());
+        long overdueMs = bounds.quietPeriodMs() / 3;
         PeerForwarder peerForwarder = new PeerForwarder(
                 eventLoop,
                 dataPlaneNode.endpointDirectory,
@@ -74,8 +75,10 @@
                 new PeerForwarder.Sender(settings.node(), localService == null ? "" : localService),
                 proxyObserver(dataPlaneNode),
                 metrics);
-        outboundHandler = new OutboundHandler(eventLoop, dataPlaneNode, forwarder, peerForwarder, metrics, log);
-        InboundHandler inboundHandler = new InboundHandler(eventLoop, dataPlaneNode, forwarder, localService, metrics);
+        outboundHandler =
+                new OutboundHandler(eventLoop, dataPlaneNode, forwarder, peerForwarder, overdueMs, metrics, log);
+        InboundHandler inboundHandler =
+                new InboundHandler(eventLoop, dataPlaneNode, forwarder, localService, overdueMs, metrics, log);
         listeners.listen(settings.peerAddress(), transport, peerListenerOptions());
         listeners.listen(
                 settings.inboundAddress(),
--- a/src/main/java/bramblespool/proxy/ForwardedRequest.java
+++ b/src/main/java/bramblespool/proxy/ForwardedRequest.java
@@ -1,5 +1,6 @@
 package bramblespool.proxy;
 
+import bramblespool.protocol.HeaderNames;
 import bramblespool.transport.BodyStream;
 import bramblespool.transport.UpstreamClient;
 import io.undertow.util.HeaderMap;
@@ -12,15 +13,21 @@
  * @param headers as received; those that must not be forwarded are left out later
  * @param callerService the service it comes from; empty where it is unknown
  * @param deadlineMs on the event loop's clock
+ * @param cancellation ends the work on it when its client leaves
  */
 record ForwardedRequest(
         HttpString method,
         String requestTarget,
         HeaderMap headers,
         BodyStream.Body body,
-        String attemptId,
         String callerService,
-        long deadlineMs) {
+        long deadlineMs,
+        RequestCancellation cancellation) {
+
+    /** The id by which the client names this attempt. */
+    String attemptId() {
+        return headers.getFirst(HeaderNames.ATTEMPT_ID);
+    }
 
     /** The request with these headers and the framing that fits its body. */
     UpstreamClient.Request toUpstreamRequest(HeaderMap outgoingHeaders) {
--- a/src/main/java/bramblespool/proxy/InboundHandler.java
+++ b/src/main/java/bramblespool/proxy/InboundHandler.java
@@ -1,9 +1,8 @@
 package bramblespool.proxy;
 
 import bramblespool.coordination.dataplane.DataPlaneNode;
-import bramblespool.protocol.ExecutionOutcome;
 import bramblespool.protocol.HeaderNames;
-import bramblespool.state.Metric;
+import bramblespool.state.EventLog;
 import bramblespool.state.Metrics;
 import bramblespool.transport.BodyStream;
 import bramblespool.transport.Clock;
@@ -25,15 +24,26 @@
     private final String localService;
 
     private final Metrics metrics;
+    private final ExchangeMonitor monitor;
 
-    /** {@code localService}: the service of this machine's server; null in a gateway. */
+    /**
+     * @param localService the service of this machine's server; null in a gateway
+     * @param overdueMs how long after its deadline a request may be open
+     */
     public InboundHandler(
-            Clock clock, DataPlaneNode dataPlaneNode, ServerForwarder forwarder, String localService, Metrics metrics) {
+            Clock clock,
+            DataPlaneNode dataPlaneNode,
+            ServerForwarder forwarder,
+            String localService,
+            long overdueMs,
+            Metrics metrics,
+            EventLog log) {
         this.clock = clock;
         this.dataPlaneNode = dataPlaneNode;
         this.forwarder = forwarder;
         this.localService = localService;
         this.metrics = metrics;
+        this.monitor = new ExchangeMonitor(clock, ExchangeMonitor.Counters.OF_PROXIES, overdueMs, metrics, log);
     }
 
     @Override
@@ -57,7 +67,7 @@
         String service = requestedService == null ? localService : requestedService;
         if (localService != null && !localService.equals(service)) {
             // This address belonged to another service before, and the caller is not up to date.
-            reject(exchange, localService, AttemptResult.notExecuted(RouteResolution.NO_SERVER, 0, false));
+            reject(exchange, localService, RouteResolution.NO_SERVER);
             return;
         }
         RouteResolution resolution = RouteResolution.resolve(
@@ -68,13 +78,13 @@
                 Replies.requestPath(exchange),
                 service);
         if (resolution.isRejected()) {
-            reject(exchange, service, AttemptResult.notExecuted(resolution.rejectionReason(), 0, false));
+            reject(exchange, service, resolution.rejectionReason());
             return;
         }
         if (dataPlaneNode.hasLeft()) {
             exchange.setPersistent(false);
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-            reject(exchange, service, AttemptResult.notExecuted("leaving", 0, false));
+            reject(exchange, service, "leaving");
             return;
         }
         BodyStream.read(
@@ -91,65 +101,22 @@
             String service,
             BodyStream.Body body,
             long deadlineMs) {
-        metrics.increment(Metric.FORWARDED_READ);
-        exchange.addExchangeCompleteListener((done, next) -> {
-            metrics.increment(done.isResponseComplete() ? Metric.FORWARDED_ANSWERED : Metric.FORWARDED_CLIENT_CLOSED);
-            next.proceed();
-        });
+        String caller = exchange.getRequestHeaders().getFirst(HeaderNames.CALLER_SERVICE);
         ForwardedRequest request = new ForwardedRequest(
                 exchange.getRequestMethod(),
                 Replies.requestTarget(exchange),
                 exchange.getRequestHeaders(),
                 body,
-                attemptId(exchange),
-                callerService(exchange),
-                deadlineMs);
-        forwarder.forward(
-                resolution, request, (result, relayCompletion) -> reply(exchange, service, result, relayCompletion));
-    }
-
-    /** Every response names the attempt it answers, so that it cannot be mistaken for an answer to another one. */
-    private static String attemptId(HttpServerExchange exchange) {
-        return exchange.getRequestHeaders().getFirst(HeaderNames.ATTEMPT_ID);
-    }
-
-    private static String callerService(HttpServerExchange exchange) {
-        String caller = exchange.getRequestHeaders().getFirst(HeaderNames.CALLER_SERVICE);
-        return caller == null ? "" : caller;
-    }
-
-    private void reply(
-            HttpServerExchange exchange,
-            String service,
-            AttemptResult result,
-            AttemptResult.RelayCompletion relayCompletion) {
-        if (result.isAnswered()) {
-            exchange.getResponseHeaders()
-                    .put(HeaderNames.EXECUTION_OUTCOME, result.outcome().code)
-                    .put(HeaderNames.SERVER_LOAD, dataPlaneNode.admissions.load(service));
-            Replies.relay(exchange, result.response(), relayCompletion);
-        } else if (result.outcome() == ExecutionOutcome.NOT_EXECUTED) {
-            reject(exchange, service, result);
-        } else {
-            putOutcome(exchange, service, result.outcome(), result.reason().replaceAll("[^ -~]", "?"));
-            Replies.sendText(exchange, 502, "");
-        }
-    }
-
-    private void reject(HttpServerExchange exchange, String service, AttemptResult result) {
-        putOutcome(
-                exchange,
-                service,
-                result.outcome(),
-                result.hasReachedServer() ? result.reason() + PeerAttempt.REACHED_SERVER_SUFFIX : result.reason());
-        Replies.sendUnavailable(exchange, result.retryAfterMs(), "");
+                caller == null ? "" : caller,
+                deadlineMs,
+                new RequestCancellation(ClientClosePolicy.of(resolution.route()), metrics));
+        InboundExchange inboundExchange = new InboundExchange(exchange, dataPlaneNode.admissions, service, request);
+        monitor.begin(exchange, request, inboundExchange);
+        inboundExchange.start(forwarder, resolution);
     }
 
-    private void putOutcome(HttpServerExchange exchange, String service, ExecutionOutcome outcome, String reason) {
-        exchange.getResponseHeaders()
-                .put(HeaderNames.ATTEMPT_ID, attemptId(exchange))
-                .put(HeaderNames.EXECUTION_OUTCOME, outcome.code)
-                .put(HeaderNames.SERVER_LOAD, dataPlaneNode.admissions.load(service))
-                .put(HeaderNames.REASON, reason);
+    private void reject(HttpServerExchange exchange, String service, String reason) {
+        InboundExchange.reject(
+                exchange, dataPlaneNode.admissions, service, AttemptResult.notExecuted(reason, 0, false));
     }
 }
--- a/src/main/java/bramblespool/proxy/OutboundHandler.java
+++ b/src/main/java/bramblespool/proxy/OutboundHandler.java
@@ -3,7 +3,6 @@
 import bramblespool.coordination.dataplane.DataPlaneNode;
 import bramblespool.coordination.tenancy.RequestAdmission;
 import bramblespool.state.EventLog;
-import bramblespool.state.Metric;
 import bramblespool.state.Metrics;
 import bramblespool.transport.BodyStream;
 import bramblespool.transport.Clock;
@@ -20,20 +19,21 @@
     private final DataPlaneNode dataPlaneNode;
     private final RequestResolver requestResolver;
     private final ProxiedExchange.Services services;
-    private final Metrics metrics;
+    private final ExchangeMonitor monitor;
     private boolean isStopping;
     private int inFlightRequests;
 
-    /** Creates the handler; it forwards to this proxy's own servers and to other proxies. */
+    /** {@code overdueMs}: how long after its deadline a request may be open. */
     public OutboundHandler(
             Clock clock,
             DataPlaneNode dataPlaneNode,
             ServerForwarder serverForwarder,
             PeerForwarder peerForwarder,
+            long overdueMs,
             Metrics metrics,
             EventLog log) {
         this.dataPlaneNode = dataPlaneNode;
-        this.metrics = metrics;
+        this.monitor = new ExchangeMonitor(clock, ExchangeMonitor.Counters.OF_CLIENTS, overdueMs, metrics, log);
         this.requestResolver = new RequestResolver(clock, peerForwarder.connectionOptions.connectTimeoutMs(), log);
         RequestAdmission requestAdmission = new RequestAdmission(
                 dataPlaneNode.admissionClient, dataPlaneNode.idempotencyTable, dataPlaneNode::queryOperation, log);
@@ -88,11 +88,8 @@
             RequestResolver.ResolvedRequest resolved,
             String versionMark,
             BodyStream.Body body) {
-        metrics.increment(Metric.REQUESTS_READ);
-        exchange.addExchangeCompleteListener((done, next) -> {
-            metrics.increment(done.isResponseComplete() ? Metric.REQUESTS_ANSWERED : Metric.REQUESTS_CLIENT_CLOSED);
-            next.proceed();
-        });
-        new ProxiedExchange(services, exchange, resolved, versionMark, body).start();
+        ProxiedExchange proxiedExchange = new ProxiedExchange(services, exchange, resolved, versionMark, body);
+        monitor.begin(exchange, proxiedExchange.request(), proxiedExchange);
+        proxiedExchange.start();
     }
 }
--- a/src/main/java/bramblespool/proxy/PeerAttempt.java
+++ b/src/main/java/bramblespool/proxy/PeerAttempt.java
@@ -3,6 +3,7 @@
 import bramblespool.coordination.membership.EndpointDirectory;
 import bramblespool.protocol.ExecutionOutcome;
 import bramblespool.protocol.HeaderNames;
+import bramblespool.state.Metric;
 import bramblespool.transport.Clock;
 import bramblespool.transport.UpstreamClient;
 import io.undertow.util.HeaderMap;
@@ -24,6 +25,7 @@
     private final AttemptResult.Listener listener;
     private UpstreamClient.Call upstreamCall;
     private Clock.Timer silenceTimer;
+    private RequestCancellation.Registration registration;
 
     /**
      * @param mayHedge whether a request that may be executing at a silent proxy may be sent to another one as well
@@ -43,6 +45,10 @@
     }
 
     void start(HeaderMap headers) {
+        if (!request.cancellation().checkMaySend(request.attemptId())) {
+            return;
+        }
+        registration = request.cancellation().register(this::abandon);
         watchForSilence();
         upstreamCall = forwarder.upstream.send(
                 endpoint.proxy.inboundAddress, forwarder.connectionOptions, request.toUpstreamRequest(headers), this);
@@ -66,12 +72,15 @@
 
     private void finish(AttemptResult result, AttemptResult.RelayCompletion relayCompletion) {
         silenceTimer.cancel();
+        registration.close();
         listener.onResult(result, relayCompletion);
     }
 
-    /** Ends the attempt without a result. */
+    /** Ends the attempt without a result; the other proxy sees that its connection is closed. */
     void abandon() {
         silenceTimer.cancel();
+        registration.close();
+        forwarder.metrics.increment(Metric.PEER_ATTEMPTS_CANCELLED);
         upstreamCall.cancel();
     }
 
--- a/src/main/java/bramblespool/proxy/ProxiedExchange.java
+++ b/src/main/java/bramblespool/proxy/ProxiedExchange.java
@@ -25,7 +25,7 @@
  * A client's request in progress, from its admission to its one response. It is sent to one endpoint after the other
  * until one answers, its deadline passes or nothing more may be tried. Confined to the event loop.
  */
-final class ProxiedExchange implements RequestAdmission.AdmissionHandler {
+final class ProxiedExchange implements RequestAdmission.AdmissionHandler, ExchangeMonitor.Owner {
     /** What all exchanges of a proxy share. */
     record Services(
             Clock clock,
@@ -67,6 +67,8 @@
     private final ForwardedRequest request;
     private final String versionMark;
     private final Set<EndpointDirectory.Endpoint> triedEndpoints = new HashSet<>();
+    private final RequestCancellation.Registration registration;
+    private Runnable cancelRelay = () -> {};
     private Clock.Timer deadlineTimer;
     private int serverArrivals;
     private long shortestRetryAfterMs;
@@ -93,9 +95,22 @@
                 Replies.requestTarget(exchange),
                 exchange.getRequestHeaders(),
                 body,
-                exchange.getRequestHeaders().getFirst(HeaderNames.ATTEMPT_ID),
                 services.localService(),
-                resolved.deadlineMs());
+                resolved.deadlineMs(),
+                new RequestCancellation(ClientClosePolicy.of(route), services.metrics));
+        this.registration = request.cancellation().register(this::onCancelled);
+    }
+
+    ForwardedRequest request() {
+        return request;
+    }
+
+    @Override
+    public String stage() {
+        if (isFinished) {
+            return "the response";
+        }
+        return currentAttempt == null ? "admission" : currentAttempt.endpoint.proxy.node;
     }
 
     private long remainingMs() {
@@ -207,6 +222,32 @@
         Replies.sendText(exchange, 504, "deadline");
     }
 
+    /** The client has left. The attempt in progress ends by its own registration. */
+    private void onCancelled() {
+        registration.close();
+        if (isFinished) {
+            cancelRelay.run();
+            return;
+        }
+        finish();
+        recordUnanswered();
+        if (currentAttempt != null) {
+            currentAttempt.releaseEndpoint();
+        }
+    }
+
+    @Override
+    public void endForShutdown() {
+        if (isFinished) {
+            return;
+        }
+        if (currentAttempt != null) {
+            mayHaveExecuted |= currentAttempt.abort() == ExecutionOutcome.POSSIBLY_EXECUTED;
+            currentAttempt = null;
+        }
+        giveUp(DEFAULT_RETRY_AFTER_MS, "shutting down");
+    }
+
     private void startNextAttempt() {
         EndpointDirectory.Endpoint endpoint = triedEndpoints.size() < MAX_ENDPOINTS_TRIED
                 ? services.endpointDirectory().chooseEndpoint(resolved.service(), triedEndpoints)
@@ -240,7 +281,7 @@
         if (result.isAnswered() && !isFalsePromise(result)) {
             finish();
             recordOutcome(ExecutionOutcome.ANSWERED, result.response());
-            Replies.relay(exchange, result.response(), relayCompletion);
+            cancelRelay = Replies.relay(exchange, result.response(), relayCompletion);
             return;
         }
         if (relayCompletion != null) {
@@ -323,6 +364,8 @@
         private final EndpointDirectory.Endpoint endpoint;
         /** Null where the endpoint is a server of this proxy. */
         private PeerAttempt peerAttempt;
+        /** Null where the endpoint is another proxy's, or where the attempt has ended at once. */
+        private ServerAttempt serverAttempt;
 
         private boolean isCountedInFlight = true;
 
@@ -352,7 +395,7 @@
                 end(AttemptResult.notExecuted(resolution.rejectionReason(), 0, false), null);
                 return;
             }
-            services.serverForwarder.forward(resolution, request, (result, relayCompletion) -> {
+            serverAttempt = services.serverForwarder.forward(resolution, request, (result, relayCompletion) -> {
                 services.endpointDirectory()
                         .recordLoad(endpoint, services.dataPlaneNode.admissions.load(resolved.service()));
                 end(result, relayCompletion);
@@ -371,7 +414,15 @@
             }
         }
 
-        /** Nobody waits for its result any more. */
+        /** Ends it without a result; returns whether the request may have been executed. */
+        ExecutionOutcome abort() {
+            ExecutionOutcome outcome =
+                    serverAttempt == null ? ExecutionOutcome.POSSIBLY_EXECUTED : serverAttempt.abort();
+            abandon();
+            return outcome;
+        }
+
+        /** Nobody waits for its result any more; a server of this proxy ends it by its own deadline. */
         void abandon() {
             if (peerAttempt != null) {
                 peerAttempt.abandon();
--- a/src/main/java/bramblespool/proxy/Replies.java
+++ b/src/main/java/bramblespool/proxy/Replies.java
@@ -25,6 +25,8 @@
 
     private static final double MAX_NUMBER = 1e12;
 
+    private static final Runnable NOTHING_TO_CANCEL = () -> {};
+
     private Replies() {}
 
     /** Sends a short text; closes the connection where a response has been started. */
@@ -66,8 +68,12 @@
         sendText(exchange, status, message);
     }
 
-    /** Forwards a response; closes the connection where it breaks off, so that it never looks complete. */
-    static void relay(
+    /**
+     * Forwards a response; closes the connection where it breaks off, so that it never looks complete.
+     *
+     * @return ends the forwarding of a streamed response; has no effect on another one
+     */
+    static Runnable relay(
             HttpServerExchange exchange,
             UpstreamClient.Response response,
             AttemptResult.RelayCompletion relayCompletion) {
@@ -75,7 +81,7 @@
             if (relayCompletion != null) {
                 relayCompletion.onRelayed(false);
             }
-            return;
+            return NOTHING_TO_CANCEL;
         }
         exchange.setStatusCode(response.statusCode());
         HeaderNames.copyEndToEnd(response.headers(), exchange.getResponseHeaders());
@@ -87,13 +93,13 @@
                 exchange.getResponseSender()
                         .send(ByteBuffer.wrap(response.body().prefix()));
             }
-            return;
+            return NOTHING_TO_CANCEL;
         }
         String contentLength = response.headers().getFirst(Headers.CONTENT_LENGTH);
         if (contentLength != null) {
             exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, contentLength);
         }
-        BodyStream.write(
+        Runnable cancelWrite = BodyStream.write(
                 response.body(),
                 exchange.getResponseChannel(),
                 exchange.getConnection().getByteBufferPool(),
@@ -105,6 +111,10 @@
                     relayCompletion.onRelayed(false);
                     IoUtils.safeClose(exchange.getConnection());
                 });
+        return () -> {
+            cancelWrite.run();
+            relayCompletion.onRelayed(false);
+        };
     }
 
     /** A response as stored for repeated requests; null where it was too large to be buffered. */
--- a/src/main/java/bramblespool/proxy/ServerAttempt.java
+++ b/src/main/java/bramblespool/proxy/ServerAttempt.java
@@ -30,6 +30,7 @@
     private String serverId;
     private UpstreamClient.Call upstreamCall;
     private Clock.Timer deadlineTimer;
+    private RequestCancellation.Registration registration;
     private boolean isFinished;
     private String tenant;
     private long usageWindow;
@@ -46,6 +47,7 @@
     }
 
     void start(Route route, int rank) {
+        registration = request.cancellation().register(this::onCancelled);
         ticket = serverAdmission.admit(
                 route.name(),
                 rank,
@@ -67,11 +69,53 @@
     }
 
     private void endUnsent(AttemptResult result) {
-        isFinished = true;
+        end();
         listener.onResult(result, null);
     }
 
+    private void end() {
+        isFinished = true;
+        registration.close();
+    }
+
+    /** The client has left: ends the attempt, save a run at the server that is not to be broken off. */
+    private void onCancelled() {
+        if (isSent() && request.cancellation().policy() == ClientClosePolicy.FINISH_RUN) {
+            registration.close();
+            forwarder.metrics.increment(Metric.SERVER_REQUESTS_DETACHED);
+        } else {
+            abort();
+        }
+    }
+
+    private boolean isSent() {
+        return upstreamCall != null;
+    }
+
+    /** Ends the attempt without a result; returns whether the request may have been executed. */
+    ExecutionOutcome abort() {
+        if (isFinished) {
+            return ExecutionOutcome.POSSIBLY_EXECUTED;
+        }
+        end();
+        if (!isSent()) {
+            ticket.cancel();
+            forwarder.metrics.increment(Metric.QUEUED_REQUESTS_CANCELLED);
+            return ExecutionOutcome.NOT_EXECUTED;
+        }
+        deadlineTimer.cancel();
+        upstreamCall.cancel();
+        ticket.releaseCancelled();
+        forwarder.metrics.increment(Metric.SERVER_REQUESTS_CANCELLED);
+        return ExecutionOutcome.POSSIBLY_EXECUTED;
+    }
+
     private void send() {
+        if (!request.cancellation().checkMaySend(request.attemptId())) {
+            ticket.release(false);
+            end();
+            return;
+        }
         serverId = ticket.serverId();
         long remainingMs = request.deadlineMs() - forwarder.clock.nowMs();
         if (remainingMs <= 0) {
@@ -121,7 +165,7 @@
         if (isFinished) {
             return;
         }
-        isFinished = true;
+        end();
         deadlineTimer.cancel();
         if (tenant != null && result.outcome() == ExecutionOutcome.NOT_EXECUTED) {
             forwarder.usageCounter.undoRun(tenant, usageWindow);
--- a/src/main/java/bramblespool/proxy/ServerForwarder.java
+++ b/src/main/java/bramblespool/proxy/ServerForwarder.java
@@ -50,9 +50,10 @@
      * Forwards a request to the server of an admission; the listener is called once, possibly before this returns,
      * unless the request is cancelled before.
      */
-    void forward(RouteResolution resolution, ForwardedRequest request, AttemptResult.Listener listener) {
-        new ServerAttempt(this, resolution.serverAdmission(), request, listener)
-                .start(resolution.route(), resolution.rank());
+    ServerAttempt forward(RouteResolution resolution, ForwardedRequest request, AttemptResult.Listener listener) {
+        ServerAttempt attempt = new ServerAttempt(this, resolution.serverAdmission(), request, listener);
+        attempt.start(resolution.route(), resolution.rank());
+        return attempt;
     }
 
     UpstreamClient.ConnectionOptions connectionOptions() {
--- a/src/main/java/bramblespool/transport/EventLoop.java
+++ b/src/main/java/bramblespool/transport/EventLoop.java
@@ -24,6 +24,9 @@
         // properties are left alone, so that the beans can be had.
         setPropertyIfAbsent("javax.management.builder.initial", DisabledMBeanServerBuilder.class.getName());
         setPropertyIfAbsent("jboss.threads.eqe.disable-mbean", "true");
+        // By default Undertow closes a client connection by waiting up to 10 s for the other side, and once the request
+        // is written it sends no FIN meanwhile: a cancelled request would go on at the server. At 0 it closes at once.
+        setPropertyIfAbsent("io.undertow.max-drain-time", "0");
     }
 
     private static void setPropertyIfAbsent(String property, String value) {
--- a/src/test/java/bramblespool/proxy/SocketTestContext.java
+++ b/src/test/java/bramblespool/proxy/SocketTestContext.java
@@ -54,6 +54,7 @@
             + (1 + ProcessHandle.current().pid() % 250);
 
     private static final long NEVER_MS = 1_000_000_000;
+    private static final long OVERDUE_MS = 1000;
     private static final EventLoop EVENT_LOOP = newEventLoop();
 
     private static EventLoop newEventLoop() {
@@ -156,7 +157,9 @@
                         node,
                         new ServerForwarder(clock, upstream, null, metrics, NEVER_MS, NEVER_MS),
                         "desk",
-                        metrics);
+                        OVERDUE_MS,
+                        metrics,
+                        EventLog.silent());
             }));
             firstInbound = firstInbound == null ? address : firstInbound;
             endpoints.add(endpointEntry(address, "desk"));
@@ -192,6 +195,7 @@
                     node,
                     new ServerForwarder(clock, upstream, null, metrics, NEVER_MS, NEVER_MS),
                     peerForwarder,
+                    OVERDUE_MS,
                     metrics,
                     EventLog.silent());
         }));
