Every request that was read gets an answer through drain and loss of the lead

ShadowCommitCoordinator completes the order in both outcomes of an abort. AttemptHistory leaves ProxiedExchange.

--- a/src/main/java/bramblespool/coordination/configuration/ShadowCommitCoordinator.java
+++ b/src/main/java/bramblespool/coordination/configuration/ShadowCommitCoordinator.java
@@ -99,7 +99,7 @@
                 isBusy = true;
                 ReplicatedState.Version candidate = replicatedState.candidate();
                 String stamp = RoutingConfiguration.stampOf(candidate.compressedDocument());
-                abort(candidate.epoch(), stamp, "left by the last leader", this::recover);
+                abort(candidate.epoch(), stamp, "left by the last leader", this::recover, () -> {});
             }
             case FINISH_COMMIT -> {
                 isBusy = true;
@@ -227,20 +227,24 @@
 
     private void rejectCandidate(
             PendingChange pending, RoutingConfiguration candidate, ChangeOutcome.RejectedByProxies outcome) {
-        abort(candidate.epoch(), candidate.stamp(), outcome.reason(), () -> {
+        Runnable onAborted = () -> {
             pending.complete(outcome);
             startNext();
-        });
+        };
+        Runnable onLeadershipLost = () -> pending.complete(new ChangeOutcome.LeadershipLost());
+        abort(candidate.epoch(), candidate.stamp(), outcome.reason(), onAborted, onLeadershipLost);
     }
 
-    /** Withdraws a candidate from all proxies and from the log. */
-    private void abort(long epoch, String stamp, String reason, Runnable onAborted) {
+    /** Withdraws a candidate from all proxies and from the log; exactly one of the callbacks runs. */
+    private void abort(long epoch, String stamp, String reason, Runnable onAborted, Runnable onLeadershipLost) {
         BooleanSupplier isStillLeading = leadership.currentLeadership();
         log.log(Event.COMMIT_ABORTED, "epoch", epoch, "cause", reason);
         phaseRunner.abort(epoch, stamp, members.get(), () -> {});
         commitLog.abortCandidate(epoch, outcome -> {
             if (outcome == ProposalOutcome.COMMITTED && isStillLeading.getAsBoolean()) {
                 onAborted.run();
+            } else {
+                onLeadershipLost.run();
             }
         });
     }
--- a/src/main/java/bramblespool/process/ProxyProcess.java
+++ b/src/main/java/bramblespool/process/ProxyProcess.java
@@ -32,6 +32,7 @@
     /** Idle connections between processes are kept long enough to be reused in most cases. */
     private static final int PEER_IDLE_TIMEOUT_MS = 60_000;
 
+    private static final long STOP_POLL_INTERVAL_MS = 10;
     private static final long MAX_CLIENT_HEADER_BYTES = 1 << 20;
     /** A connection without any request is closed after this multiple of the idle time-out. */
     private static final int SILENT_CONNECTION_FACTOR = 8;
@@ -44,6 +45,7 @@
     private final Metrics metrics;
     final UpstreamClient upstream;
     private final OutboundHandler outboundHandler;
+    private final InboundHandler inboundHandler;
     private final HttpOpenListener clientListener;
     private final IdleConnections<ServerConnection> idleConnections;
     private RequestLimits limits = RequestLimits.DEFAULT;
@@ -77,8 +79,7 @@
                 metrics);
         outboundHandler =
                 new OutboundHandler(eventLoop, dataPlaneNode, forwarder, peerForwarder, overdueMs, metrics, log);
-        InboundHandler inboundHandler =
-                new InboundHandler(eventLoop, dataPlaneNode, forwarder, localService, overdueMs, metrics, log);
+        inboundHandler = new InboundHandler(eventLoop, dataPlaneNode, forwarder, localService, overdueMs, metrics, log);
         listeners.listen(settings.peerAddress(), transport, peerListenerOptions());
         listeners.listen(
                 settings.inboundAddress(),
@@ -199,27 +200,51 @@
     }
 
     /**
-     * Not ready at once, but still serving for a part of the time; then closes the listeners and finishes its requests.
+     * Not ready at once, but still serving for a part of the time. Then the listeners are closed, and the process ends
+     * as soon as everything that it has read is answered, at the latest when the time is over.
      */
     @Override
     public void stop(long graceMs, Runnable onStopped) {
-        outboundHandler.beginShutdown();
-        dataPlaneNode.shutDownGracefully(graceMs * 2 / 5);
-        eventLoop.schedule(graceMs * 2 / 5, () -> {
+        ShutdownSchedule schedule = ShutdownSchedule.from(eventLoop.nowMs(), graceMs);
+        outboundHandler.beginShutdown(schedule.serveUntilMs(), schedule.answerUntilMs());
+        long serveMs = schedule.serveUntilMs() - eventLoop.nowMs();
+        dataPlaneNode.shutDownGracefully(serveMs);
+        eventLoop.schedule(serveMs, () -> {
             listeners.close();
-            long deadlineMs = eventLoop.nowMs() + graceMs * 2 / 5;
-            awaitInFlightRequests(deadlineMs, onStopped);
+            awaitInFlightRequests(schedule, onStopped);
         });
     }
 
-    private void awaitInFlightRequests(long deadlineMs, Runnable onStopped) {
-        if (outboundHandler.inFlightRequests() == 0 && dataPlaneNode.admissions.load() == 0
-                || eventLoop.nowMs() >= deadlineMs) {
-            // Closed so that no further request is read and left without a response.
-            idleConnections.closeIdle();
-            onStopped.run();
+    private void awaitInFlightRequests(ShutdownSchedule schedule, Runnable onStopped) {
+        if (!hasWork()) {
+            end(onStopped);
+        } else if (eventLoop.nowMs() >= schedule.answerUntilMs()) {
+            outboundHandler.endForShutdown();
+            inboundHandler.endForShutdown();
+            awaitLastResponses(schedule, onStopped);
         } else {
-            eventLoop.schedule(10, () -> awaitInFlightRequests(deadlineMs, onStopped));
+            eventLoop.schedule(STOP_POLL_INTERVAL_MS, () -> awaitInFlightRequests(schedule, onStopped));
         }
     }
+
+    private boolean hasWork() {
+        return outboundHandler.inFlightRequests() > 0
+                || inboundHandler.inFlightRequests() > 0
+                || dataPlaneNode.admissions.load() > 0;
+    }
+
+    private void awaitLastResponses(ShutdownSchedule schedule, Runnable onStopped) {
+        boolean isOver = eventLoop.nowMs() >= schedule.endMs() - STOP_POLL_INTERVAL_MS;
+        if (isOver || outboundHandler.inFlightRequests() == 0 && inboundHandler.inFlightRequests() == 0) {
+            end(onStopped);
+        } else {
+            eventLoop.schedule(STOP_POLL_INTERVAL_MS, () -> awaitLastResponses(schedule, onStopped));
+        }
+    }
+
+    private void end(Runnable onStopped) {
+        // Closed so that no further request is read and left without a response.
+        idleConnections.closeIdle();
+        onStopped.run();
+    }
 }
--- a/src/main/java/bramblespool/process/SidecarProcess.java
+++ b/src/main/java/bramblespool/process/SidecarProcess.java
@@ -131,8 +131,6 @@
             log.logOnChange(Event.HEARTBEAT_REJECTED, rejection, "server", serverId, "cause", rejection);
         }
         Replies.sendJson(
-                exchange,
-                rejection == null ? 200 : 400,
-                rejection == null ? "{}" : "{\"error\":" + new com.google.gson.JsonPrimitive(rejection) + "}");
+                exchange, rejection == null ? 200 : 400, rejection == null ? "{}" : Replies.errorJson(rejection));
     }
 }
--- a/src/main/java/bramblespool/proxy/ExchangeMonitor.java
+++ b/src/main/java/bramblespool/proxy/ExchangeMonitor.java
@@ -13,9 +13,9 @@
 import org.xnio.IoUtils;
 
 /**
- * The exchanges of one listener whose request was read to its end, until they are complete. Watches their clients, counts
- * how they end, and checks two invariants: each is answered unless its client has left or its response broke off at
- * the server, and none stays open long after its deadline. Confined to the event loop.
+ * The exchanges of one listener whose request was read to its end, until they are complete. Watches their clients,
+ * counts how they end, and checks two invariants: each is answered unless its client has left or its response broke off
+ * at the server, and none stays open long after its deadline. Confined to the event loop.
  */
 final class ExchangeMonitor {
     /**
--- a/src/main/java/bramblespool/proxy/InboundExchange.java
+++ b/src/main/java/bramblespool/proxy/InboundExchange.java
@@ -6,8 +6,8 @@
 import io.undertow.server.HttpServerExchange;
 
 /**
- * A request of another proxy in progress: one attempt at a server of this proxy, and its response. Confined to the event
- * loop.
+ * A request of another proxy in progress: one attempt at a server of this proxy, and its response. Confined to the
+ * event loop.
  */
 final class InboundExchange implements ExchangeMonitor.Owner {
     private static final String PRINTABLE_ONLY = "[^ -~]";
--- a/src/main/java/bramblespool/proxy/InboundHandler.java
+++ b/src/main/java/bramblespool/proxy/InboundHandler.java
@@ -25,6 +25,7 @@
 
     private final Metrics metrics;
     private final ExchangeMonitor monitor;
+    private int inFlightRequests;
 
     /**
      * @param localService the service of this machine's server; null in a gateway
@@ -48,11 +49,25 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
+        inFlightRequests++;
+        exchange.addExchangeCompleteListener((done, next) -> {
+            inFlightRequests--;
+            next.proceed();
+        });
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> accept(exchange));
     }
 
+    /** Requests that are not yet answered to the end. */
+    public int inFlightRequests() {
+        return inFlightRequests;
+    }
+
+    /** Answers every request that is still in progress: the process ends. */
+    public void endForShutdown() {
+        monitor.endForShutdown();
+    }
+
     private void accept(HttpServerExchange exchange) {
-        HeaderMap headers = exchange.getRequestHeaders();
         long remainingMs = Replies.positiveNumber(exchange, HeaderNames.DEADLINE);
         String framingFault = Replies.framingFault(exchange);
         if (framingFault != null || remainingMs <= 0) {
@@ -60,7 +75,11 @@
                     exchange, 400, framingFault == null ? "bad " + HeaderNames.DEADLINE : framingFault);
             return;
         }
-        long deadlineMs = clock.nowMs() + remainingMs;
+        route(exchange, clock.nowMs() + remainingMs);
+    }
+
+    private void route(HttpServerExchange exchange, long deadlineMs) {
+        HeaderMap headers = exchange.getRequestHeaders();
         String versionMark = headers.getFirst(HeaderNames.VERSION_MARK);
         dataPlaneNode.onVersionMark(headers.getFirst(HeaderNames.SENDER_NODE), versionMark);
         String requestedService = headers.getFirst(HeaderNames.TARGET_SERVICE);
--- a/src/main/java/bramblespool/proxy/OutboundHandler.java
+++ b/src/main/java/bramblespool/proxy/OutboundHandler.java
@@ -3,6 +3,7 @@
 import bramblespool.coordination.dataplane.DataPlaneNode;
 import bramblespool.coordination.tenancy.RequestAdmission;
 import bramblespool.state.EventLog;
+import bramblespool.state.Metric;
 import bramblespool.state.Metrics;
 import bramblespool.transport.BodyStream;
 import bramblespool.transport.Clock;
@@ -20,7 +21,11 @@
     private final RequestResolver requestResolver;
     private final ProxiedExchange.Services services;
     private final ExchangeMonitor monitor;
+    private final Clock clock;
+    private final Metrics metrics;
     private boolean isStopping;
+    private long acceptAllUntilMs;
+    private long answerUntilMs;
     private int inFlightRequests;
 
     /** {@code overdueMs}: how long after its deadline a request may be open. */
@@ -32,6 +37,8 @@
             long overdueMs,
             Metrics metrics,
             EventLog log) {
+        this.clock = clock;
+        this.metrics = metrics;
         this.dataPlaneNode = dataPlaneNode;
         this.monitor = new ExchangeMonitor(clock, ExchangeMonitor.Counters.OF_CLIENTS, overdueMs, metrics, log);
         this.requestResolver = new RequestResolver(clock, peerForwarder.connectionOptions.connectTimeoutMs(), log);
@@ -41,9 +48,20 @@
                 clock, dataPlaneNode, requestAdmission, serverForwarder, peerForwarder, metrics, log);
     }
 
-    /** From now on connections are closed after the response. */
-    public void beginShutdown() {
+    /**
+     * From now on connections are closed after the response. Every request is still accepted until {@code
+     * acceptAllUntilMs}; after that, only one whose deadline is not behind {@code answerUntilMs}, at which those left
+     * are ended.
+     */
+    public void beginShutdown(long acceptAllUntilMs, long answerUntilMs) {
         isStopping = true;
+        this.acceptAllUntilMs = acceptAllUntilMs;
+        this.answerUntilMs = answerUntilMs;
+    }
+
+    /** Answers every request that is still in progress: the process ends. */
+    public void endForShutdown() {
+        monitor.endForShutdown();
     }
 
     /** Requests that are not yet answered. */
@@ -73,6 +91,11 @@
             return;
         }
         RequestResolver.ResolvedRequest resolved = (RequestResolver.ResolvedRequest) resolution;
+        if (isTooLateToStart(resolved)) {
+            metrics.increment(Metric.REQUESTS_REFUSED_AT_SHUTDOWN);
+            Replies.sendUnavailable(exchange, RequestResolver.DEFAULT_RETRY_AFTER_MS, "shutting down");
+            return;
+        }
         dataPlaneNode.retryBudget.onRequest(resolved.service());
         String versionMark = dataPlaneNode.shadowCommit.currentMark();
         BodyStream.read(
@@ -83,6 +106,11 @@
                 e -> exchange.endExchange());
     }
 
+    /** Whether this process may end before the request does. */
+    private boolean isTooLateToStart(RequestResolver.ResolvedRequest resolved) {
+        return isStopping && clock.nowMs() >= acceptAllUntilMs && resolved.deadlineMs() > answerUntilMs;
+    }
+
     private void forward(
             HttpServerExchange exchange,
             RequestResolver.ResolvedRequest resolved,
--- a/src/main/java/bramblespool/proxy/ProxiedExchange.java
+++ b/src/main/java/bramblespool/proxy/ProxiedExchange.java
@@ -18,7 +18,6 @@
 import bramblespool.transport.UpstreamClient;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
-import java.util.HashSet;
 import java.util.Set;
 
 /**
@@ -49,11 +48,6 @@
         }
     }
 
-    /** Endpoints that one request is sent to at most; a rejection by an admission does not count as an arrival. */
-    private static final int MAX_ENDPOINTS_TRIED = 4;
-    /** Time before the deadline that a retry needs. */
-    private static final long MIN_RETRY_TIME_MS = 15;
-
     private static final long DEFAULT_RETRY_AFTER_MS = RequestResolver.DEFAULT_RETRY_AFTER_MS;
     /** Statuses that promise a client that its request was not executed. */
     private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 421, 429, 503);
@@ -66,15 +60,12 @@
     private final Route route;
     private final ForwardedRequest request;
     private final String versionMark;
-    private final Set<EndpointDirectory.Endpoint> triedEndpoints = new HashSet<>();
+    private final AttemptHistory history;
     private final RequestCancellation.Registration registration;
     private Runnable cancelRelay = () -> {};
     private Clock.Timer deadlineTimer;
-    private int serverArrivals;
-    private long shortestRetryAfterMs;
     private RequestAttempt currentAttempt;
     private boolean isFinished;
-    private boolean mayHaveExecuted;
     /** The claimed operation, where the request has an idempotency key and the claim was won. */
     private IdempotencyTable.Operation operation;
 
@@ -98,6 +89,8 @@
                 services.localService(),
                 resolved.deadlineMs(),
                 new RequestCancellation(ClientClosePolicy.of(route), services.metrics));
+        this.history =
+                new AttemptHistory(route, resolved.service(), services.dataPlaneNode.retryBudget, body.isComplete());
         this.registration = request.cancellation().register(this::onCancelled);
     }
 
@@ -206,7 +199,7 @@
     }
 
     private void recordUnanswered() {
-        boolean isUnknown = currentAttempt != null || mayHaveExecuted;
+        boolean isUnknown = currentAttempt != null || history.mayHaveExecuted();
         recordOutcome(isUnknown ? ExecutionOutcome.POSSIBLY_EXECUTED : ExecutionOutcome.NOT_EXECUTED, null);
     }
 
@@ -242,25 +235,19 @@
             return;
         }
         if (currentAttempt != null) {
-            mayHaveExecuted |= currentAttempt.abort() == ExecutionOutcome.POSSIBLY_EXECUTED;
+            history.recordAborted(currentAttempt.abort());
             currentAttempt = null;
         }
         giveUp(DEFAULT_RETRY_AFTER_MS, "shutting down");
     }
 
     private void startNextAttempt() {
-        EndpointDirectory.Endpoint endpoint = triedEndpoints.size() < MAX_ENDPOINTS_TRIED
-                ? services.endpointDirectory().chooseEndpoint(resolved.service(), triedEndpoints)
-                : null;
+        EndpointDirectory.Endpoint endpoint = history.chooseEndpoint(services.endpointDirectory());
         if (endpoint == null) {
-            giveUp(
-                    shortestRetryAfterMs > 0
-                            ? shortestRetryAfterMs
-                            : DEFAULT_RETRY_AFTER_MS + (long) (services.clock.random() * DEFAULT_RETRY_AFTER_MS),
-                    "no server available");
+            long jitterMs = (long) (services.clock.random() * DEFAULT_RETRY_AFTER_MS);
+            giveUp(history.retryAfterMs(DEFAULT_RETRY_AFTER_MS + jitterMs), "no server available");
             return;
         }
-        triedEndpoints.add(endpoint);
         services.endpointDirectory().onRequestStarted(endpoint);
         currentAttempt = new RequestAttempt(endpoint);
         currentAttempt.start();
@@ -275,9 +262,6 @@
             return;
         }
         currentAttempt = null;
-        if (result.hasReachedServer()) {
-            serverArrivals++;
-        }
         if (result.isAnswered() && !isFalsePromise(result)) {
             finish();
             recordOutcome(ExecutionOutcome.ANSWERED, result.response());
@@ -299,12 +283,7 @@
     }
 
     private void onAttemptFailed(RequestAttempt attempt, AttemptResult result) {
-        mayHaveExecuted |= result.outcome() == ExecutionOutcome.POSSIBLY_EXECUTED;
-        if (result.retryAfterMs() > 0) {
-            shortestRetryAfterMs = shortestRetryAfterMs == 0
-                    ? result.retryAfterMs()
-                    : Math.min(shortestRetryAfterMs, result.retryAfterMs());
-        }
+        history.record(result);
         if (RouteResolution.isVersionMismatch(result.reason())) {
             services.peerForwarder.proxyObserver.onVersionMismatch();
         }
@@ -318,41 +297,22 @@
                 result.outcome(),
                 "cause",
                 result.reason());
-        if (mayRetry(result)) {
+        if (history.mayRetry(result, remainingMs(), services.clock.nowMs())) {
             startNextAttempt();
         } else {
-            giveUp(shortestRetryAfterMs > 0 ? shortestRetryAfterMs : DEFAULT_RETRY_AFTER_MS, result.reason());
-        }
-    }
-
-    /** Whether the request may be sent again; takes a retry from the budget where a server was reached. */
-    private boolean mayRetry(AttemptResult result) {
-        if (!request.body().isComplete() || remainingMs() <= MIN_RETRY_TIME_MS) {
-            return false;
+            giveUp(history.retryAfterMs(DEFAULT_RETRY_AFTER_MS), result.reason());
         }
-        if (result.outcome() != ExecutionOutcome.NOT_EXECUTED && !route.isIdempotent()) {
-            return false;
-        }
-        return !result.hasReachedServer()
-                || serverArrivals < route.maxAttempts()
-                        && services.dataPlaneNode.retryBudget.tryAcquire(resolved.service(), services.clock.nowMs());
     }
 
-    /** Whether a request that may be executing at a silent proxy may be sent to another one as well. */
     private boolean mayHedge() {
-        return route.isIdempotent()
-                && request.body().isComplete()
-                && serverArrivals + 1 < route.maxAttempts()
-                && triedEndpoints.size() < MAX_ENDPOINTS_TRIED
-                && services.dataPlaneNode.retryBudget.hasRetry(resolved.service(), services.clock.nowMs())
-                && remainingMs() > MIN_RETRY_TIME_MS;
+        return history.mayHedge(remainingMs(), services.clock.nowMs());
     }
 
     /** The final response: it promises that the request was not executed only if that holds for every attempt. */
     private void giveUp(long retryAfterMs, String reason) {
         finish();
-        recordOutcome(mayHaveExecuted ? ExecutionOutcome.POSSIBLY_EXECUTED : ExecutionOutcome.NOT_EXECUTED, null);
-        if (mayHaveExecuted) {
+        recordUnanswered();
+        if (history.mayHaveExecuted()) {
             Replies.sendText(exchange, 502, reason);
         } else {
             Replies.sendUnavailable(exchange, retryAfterMs, reason);
--- a/src/main/java/bramblespool/proxy/Replies.java
+++ b/src/main/java/bramblespool/proxy/Replies.java
@@ -4,6 +4,7 @@
 import bramblespool.protocol.HeaderNames;
 import bramblespool.transport.BodyStream;
 import bramblespool.transport.UpstreamClient;
+import com.google.gson.JsonObject;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
@@ -48,6 +49,19 @@
         exchange.getResponseSender().send(ByteBuffer.wrap(json.getBytes(StandardCharsets.UTF_8)));
     }
 
+    /** Sends 503 as a JSON document with a time to retry. */
+    public static void sendRetryLater(HttpServerExchange exchange, long retryAfterMs, String reason) {
+        exchange.getResponseHeaders().put(Headers.RETRY_AFTER, formatSeconds(retryAfterMs));
+        sendJson(exchange, 503, errorJson(reason));
+    }
+
+    /** A JSON document that names an error. */
+    public static String errorJson(String message) {
+        JsonObject json = new JsonObject();
+        json.addProperty("error", message);
+        return json.toString();
+    }
+
     /** Sends 503 with a time to retry, which promises that the request was not executed. */
     static void sendUnavailable(HttpServerExchange exchange, long retryAfterMs, String reason) {
         if (retryAfterMs > 0) {
@@ -171,8 +185,8 @@
     }
 
     /**
-     * A number above 0, rounded up; {@link #ABSENT} where {@code value} is null, {@link #NOT_A_POSITIVE_NUMBER} where it
-     * is no such number.
+     * A number above 0, rounded up; {@link #ABSENT} where {@code value} is null, {@link #NOT_A_POSITIVE_NUMBER} where
+     * it is no such number.
      */
     public static long positiveNumber(String value) {
         if (value == null) {
--- a/src/main/java/bramblespool/proxy/RequestCancellation.java
+++ b/src/main/java/bramblespool/proxy/RequestCancellation.java
@@ -7,11 +7,11 @@
 import java.util.Set;
 
 /**
- * Tells everything that works on a request that its client has left. Whoever begins work on the request registers how to
- * end it and closes the registration when the work has ended.
+ * Tells everything that works on a request that its client has left. Whoever begins work on the request registers how
+ * to end it and closes the registration when the work has ended.
  *
- * <p>Invariants, checked as it runs: no work begins once the request is cancelled, and no registration is left after its
- * cancellation. Confined to the event loop.
+ * <p>Invariants, checked as it runs: no work begins once the request is cancelled, and no registration is left after
+ * its cancellation. Confined to the event loop.
  */
 final class RequestCancellation {
     private final ClientClosePolicy policy;
--- a/src/test/java/bramblespool/proxy/ClientCloseTest.java
+++ b/src/test/java/bramblespool/proxy/ClientCloseTest.java
@@ -54,7 +54,7 @@
         return reply.get(SocketTestContext.HANG_TIMEOUT_S, TimeUnit.SECONDS);
     }
 
-    /** {@code SERVER}: through a second proxy to a server; {@code PEER}: to a proxy, whose connection shows the close. */
+    /** {@code SERVER}: through a second proxy to a server; {@code PEER}: to a proxy, which sees the close. */
     @ParameterizedTest
     @CsvSource({"SERVER,idempotent", "PEER,idempotent", "PEER,mutating"})
     void closeReachesEndOfChain(String hop, String routeClass) throws Exception {
