--- a/src/main/java/bramblespool/coordination/configuration/ShadowCommitCoordinator.java
+++ b/src/main/java/bramblespool/coordination/configuration/ShadowCommitCoordinator.java
@@ -26,8 +26,7 @@
  * point of no return: the operator is answered then, and nothing is rolled back. A proxy that does not acknowledge
  * phase 1 aborts only the first attempt; the second goes on without it, and it takes the decided version by gossip.
  *
- * <p>Confined to the event loop. Each change is answered once, unless this controller loses leadership while it
- * aborts the change.
+ * <p>Confined to the event loop. Each change is answered once, also where this controller loses leadership meanwhile.
  */
 public final class ShadowCommitCoordinator {
     private final RaftNode raft;
