--- a/src/test/java/bramblespool/cluster/LoopbackMesh.java
+++ b/src/test/java/bramblespool/cluster/LoopbackMesh.java
@@ -1,6 +1,7 @@
 package bramblespool.cluster;
 
 import bramblespool.process.ControllerProcess;
+import bramblespool.process.ManagedProcess;
 import bramblespool.process.SidecarProcess;
 import bramblespool.state.EventLog;
 import bramblespool.state.InvalidSettingsException;
@@ -30,6 +31,8 @@
     final int outboundPort;
     final int readyPort;
     private final int peerPort;
+    private ManagedProcess controller;
+    private ManagedProcess sidecar;
 
     LoopbackMesh(String sidecarIp, String controllerIp) throws IOException {
         this.sidecarIp = sidecarIp;
@@ -68,8 +71,8 @@
         CompletableFuture<Void> started = new CompletableFuture<>();
         loop.post(() -> {
             try {
-                new ControllerProcess(controllerSettings, loop, EventLog.silent());
-                new SidecarProcess(sidecarSettings, loop, EventLog.silent());
+                controller = new ControllerProcess(controllerSettings, loop, EventLog.silent());
+                sidecar = new SidecarProcess(sidecarSettings, loop, EventLog.silent());
                 started.complete(null);
             } catch (Exception e) {
                 started.completeExceptionally(e);
@@ -78,6 +81,22 @@
         started.get();
     }
 
+    /** Begins the graceful shutdown of the sidecar, as at SIGTERM; the future is done when its process would end. */
+    CompletableFuture<Void> stopSidecar(EventLoop loop, long graceMs) {
+        return stop(loop, sidecar, graceMs);
+    }
+
+    /** The same for the controller. */
+    CompletableFuture<Void> stopController(EventLoop loop, long graceMs) {
+        return stop(loop, controller, graceMs);
+    }
+
+    private static CompletableFuture<Void> stop(EventLoop loop, ManagedProcess process, long graceMs) {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        loop.post(() -> process.stop(graceMs, () -> stopped.complete(null)));
+        return stopped;
+    }
+
     private Settings settings(String machineClass, String ip, Path dataDirectory, String moreSettings)
             throws InvalidSettingsException {
         return SettingsParser.parse(
