--- /dev/null
+++ b/src/test/java/bramblespool/soak/SoakMesh.java
@@ -0,0 +1,268 @@
+package bramblespool.soak;
+
+import bramblespool.testing.SimulatedMesh;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Three controllers and four sidecars with a server each, on loopback addresses of this process alone. */
+final class SoakMesh implements AutoCloseable {
+    static final int CONTROLLERS = 3;
+    static final int SIDECARS = 4;
+    static final int METRICS_PORT = 17395;
+    static final int CONTROL_PORT = 17390;
+    static final int OUTBOUND_PORT = 17392;
+    private static final int READY_PORT = 17393;
+    private static final int START_TIMEOUT_S = 60;
+    private static final int CALL_TIMEOUT_MS = 5000;
+    private static final String SETTINGS = """
+            node = "%1$s-%2$d"
+            machineClass = "%3$s"
+            ip = "%4$s"
+            zone = "z%5$d"
+            portRange = [17380, 17389]
+            seedPeers = [%6$s]
+            bootstrap = %7$b
+            dataDir = "%8$s"
+            appAddr = "%4$s:17394"
+            target = "desk"
+            beat = "1s"
+            [zones]
+            z0 = "r"
+            z1 = "r"
+            z2 = "r"
+            [faultBudget]
+            machines = 1
+            [listeners]
+            control = "%4$s:17390"
+            inbound = "%4$s:17391"
+            outbound = "%4$s:17392"
+            ready = "%4$s:17393"
+            [limits]
+            memoryMb = 0
+            %9$s""";
+
+    final List<SoakProcess> controllers = new ArrayList<>();
+    final List<SoakProcess> sidecars = new ArrayList<>();
+    final List<SoakServer> servers = new ArrayList<>();
+    final SoakServer.Ledger ledger = new SoakServer.Ledger();
+    private final Path directory;
+    private final String network = "127." + (1 + ProcessHandle.current().pid() / 250 % 250) + "."
+            + ProcessHandle.current().pid() % 250 + ".";
+    private volatile boolean isClosed;
+
+    SoakMesh(Path directory) throws IOException {
+        this.directory = directory;
+        for (int i = 0; i < CONTROLLERS; i++) {
+            controllers.add(newProcess("controller", "core", i, i + 1));
+        }
+        for (int i = 0; i < SIDECARS; i++) {
+            sidecars.add(newProcess("sidecar", "sidecar", i, CONTROLLERS + i + 1));
+            servers.add(new SoakServer(i, sidecars.get(i).ip, 17394, ledger));
+        }
+    }
+
+    private SoakProcess newProcess(String role, String machineClass, int number, int host) throws IOException {
+        Path data = Files.createDirectories(directory.resolve(role + number));
+        SoakProcess process = new SoakProcess(
+                role,
+                network + host,
+                directory.resolve(role + number + ".toml"),
+                directory.resolve(role + number + ".log"));
+        writeSettings(process, machineClass, number, data, true);
+        return process;
+    }
+
+    private void writeSettings(SoakProcess process, String machineClass, int number, Path data, boolean isBootstrap)
+            throws IOException {
+        List<String> seeds = new ArrayList<>();
+        for (int i = 1; i <= CONTROLLERS; i++) {
+            seeds.add("\"" + network + i + ":" + CONTROL_PORT + "\"");
+        }
+        Files.writeString(
+                directory.resolve(process.role + number + ".toml"),
+                SETTINGS.formatted(
+                        process.role,
+                        number,
+                        machineClass,
+                        process.ip,
+                        number % CONTROLLERS,
+                        String.join(",", seeds),
+                        isBootstrap,
+                        data,
+                        SimulatedMesh.BOUNDS));
+    }
+
+    /** Starts everything; returns once a first version is in force and every sidecar is ready. */
+    void start() throws Exception {
+        for (SoakProcess process : controllers) {
+            process.start();
+        }
+        for (SoakProcess process : sidecars) {
+            process.start();
+        }
+        await(
+                "the first version",
+                () -> post(controllers.get(0), "/bramblespool/config/replace", document(1, 0)) == 200
+                        || post(controllers.get(1), "/bramblespool/config/replace", document(1, 0)) == 200
+                        || post(controllers.get(2), "/bramblespool/config/replace", document(1, 0)) == 200);
+        for (int i = 0; i < SIDECARS; i++) {
+            SoakProcess sidecar = sidecars.get(i);
+            int number = i;
+            startThread(() -> sendHeartbeats(sidecar, number));
+            await("readiness", () -> get(sidecar, READY_PORT, "/bramblespool/readiness") == 200);
+        }
+        for (int i = 0; i < CONTROLLERS; i++) {
+            writeSettings(controllers.get(i), "core", i, directory.resolve("controller" + i), false);
+        }
+        for (int i = 0; i < SIDECARS; i++) {
+            writeSettings(sidecars.get(i), "sidecar", i, directory.resolve("sidecar" + i), false);
+        }
+    }
+
+    /** A version with a route of each class, and a prefix of its own. */
+    static String document(long epoch, long base) {
+        return SimulatedMesh.document(epoch, base, "i")
+                .replace(
+                        "[[\"r\"",
+                        "[[\"m\",\"x.example\",\"/m/\",\"mutating\",\"1500ms\",\"600ms\",1,null,2,\"desk\"],"
+                                + "[\"v\",\"x.example\",\"/v" + epoch
+                                + "/\",\"idempotent\",\"1500ms\",\"600ms\",1,null,2,"
+                                + "\"desk\"],[\"r\"");
+    }
+
+    private void sendHeartbeats(SoakProcess sidecar, int number) throws Exception {
+        for (int sequence = 1; !isClosed; sequence++) {
+            post(
+                    sidecar,
+                    "/bramblespool/servers/i-" + number + "/heartbeat",
+                    "{\"target\":\"desk\",\"address\":\"" + sidecar.ip
+                            + ":17394\",\"zone\":\"z\",\"epoch\":\"v1\",\"capacity\":6,\"state\":\"ready\","
+                            + "\"warmupLeft\":\"0ms\",\"callSeq\":" + sequence + "}");
+            TimeUnit.SECONDS.sleep(1);
+        }
+    }
+
+    interface Condition {
+        boolean holds() throws Exception;
+    }
+
+    interface Task {
+        void run() throws Exception;
+    }
+
+    static void startThread(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (Exception e) {
+                // A socket was closed, or a process is gone.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    static void await(String what, Condition condition) throws Exception {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_TIMEOUT_S);
+        while (!condition.holds()) {
+            if (System.nanoTime() - endNs > 0) {
+                throw new IllegalStateException("not within " + START_TIMEOUT_S + " s: " + what);
+            }
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+    }
+
+    /** The status of a call, 0 where there was no answer. */
+    static int post(SoakProcess process, String path, String body) {
+        return call(
+                        process.ip,
+                        CONTROL_PORT,
+                        "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                .status;
+    }
+
+    private static int get(SoakProcess process, int port, String path) {
+        return call(process.ip, port, "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n").status;
+    }
+
+    /** A response; status 0 where the connection ended before it was complete. */
+    record Response(int status, String body) {
+        static final Response NONE = new Response(0, "");
+    }
+
+    static Response call(String ip, int port, String request) {
+        try (Socket socket = new Socket(ip, port)) {
+            socket.setSoTimeout(CALL_TIMEOUT_MS);
+            write(socket, request);
+            return readResponse(socket);
+        } catch (IOException e) {
+            return Response.NONE;
+        }
+    }
+
+    static Response readResponse(Socket socket) throws IOException {
+        String head = readHead(socket.getInputStream());
+        int length = Integer.parseInt(header(head, "Content-Length", "0"));
+        byte[] body = socket.getInputStream().readNBytes(length);
+        if (body.length < length) {
+            throw new EOFException();
+        }
+        return new Response(Integer.parseInt(head.substring(9, 12)), new String(body, StandardCharsets.UTF_8));
+    }
+
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    static String readHead(InputStream input) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int octet = input.read();
+            if (octet < 0) {
+                throw new EOFException();
+            }
+            head.append((char) octet);
+        }
+        return head.toString();
+    }
+
+    static String header(String head, String name, String defaultValue) {
+        for (String line : head.split("\r\n")) {
+            if (line.regionMatches(true, 0, name + ":", 0, name.length() + 1)) {
+                return line.substring(name.length() + 1).strip();
+            }
+        }
+        return defaultValue;
+    }
+
+    /** Reports of faults in the logs of all processes. */
+    List<String> faultLines() throws IOException {
+        List<String> lines = new ArrayList<>();
+        for (SoakProcess process : controllers) {
+            lines.addAll(process.faultLines());
+        }
+        for (SoakProcess process : sidecars) {
+            lines.addAll(process.faultLines());
+        }
+        return lines;
+    }
+
+    @Override
+    public void close() throws IOException {
+        isClosed = true;
+        controllers.forEach(SoakProcess::destroy);
+        sidecars.forEach(SoakProcess::destroy);
+        for (SoakServer server : servers) {
+            server.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/bramblespool/soak/SoakTraffic.java
@@ -0,0 +1,108 @@
+package bramblespool.soak;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Clients that send requests through the sidecars, each on connections of its own; some leave before the answer. */
+final class SoakTraffic {
+    /** How a request ended for its client. */
+    enum End {
+        ANSWERED,
+        LEFT,
+        /** The connection ended without an answer. */
+        CLOSED,
+        /** Nothing came until long after the deadline. */
+        SILENT,
+        /** The connection could not be made or the request not be written. */
+        NOT_SENT
+    }
+
+    /**
+     * A request as its client saw it.
+     *
+     * @param sidecar the number of the sidecar that took it
+     * @param status of the answer
+     * @param endedNs when it was answered or the client left
+     */
+    record Request(String id, boolean isIdempotent, int sidecar, End end, int status, long startedNs, long endedNs) {}
+
+    private static final int CLIENTS = 8;
+    private static final int DEADLINE_MS = 1500;
+    private static final int PATIENCE_MS = 6000;
+    private static final double LEAVING_SHARE = 0.35;
+    private static final int MAX_LEAVE_MS = 400;
+
+    private final SoakMesh mesh;
+    private final Queue<Request> requests = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger nextId = new AtomicInteger();
+    private final List<Thread> threads = new ArrayList<>();
+    private volatile boolean isOver;
+
+    SoakTraffic(SoakMesh mesh) {
+        this.mesh = mesh;
+    }
+
+    Queue<Request> requests() {
+        return requests;
+    }
+
+    void start(long seed) {
+        for (int i = 0; i < CLIENTS; i++) {
+            Random random = new Random(seed * CLIENTS + i);
+            Thread thread = new Thread(() -> run(random));
+            threads.add(thread);
+            thread.start();
+        }
+    }
+
+    void stop() throws InterruptedException {
+        isOver = true;
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+
+    private void run(Random random) {
+        while (!isOver) {
+            int sidecar = random.nextInt(SoakMesh.SIDECARS);
+            if (mesh.sidecars.get(sidecar).isRunning()) {
+                requests.add(send(random, sidecar));
+            }
+        }
+    }
+
+    private Request send(Random random, int sidecar) {
+        String id = "q" + nextId.incrementAndGet();
+        boolean isIdempotent = random.nextBoolean();
+        boolean leaves = random.nextDouble() < LEAVING_SHARE;
+        long startedNs = System.nanoTime();
+        End end = End.NOT_SENT;
+        int status = 0;
+        try (Socket socket = new Socket(mesh.sidecars.get(sidecar).ip, SoakMesh.OUTBOUND_PORT)) {
+            socket.setSoTimeout(leaves ? 1 + random.nextInt(MAX_LEAVE_MS) : PATIENCE_MS);
+            SoakMesh.write(
+                    socket,
+                    "POST /" + (isIdempotent ? "i" : "m") + "/x HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: " + id
+                            + "\r\nX-Deadline-Ms: " + DEADLINE_MS + "\r\nContent-Length: 4\r\n\r\nbody");
+            end = End.CLOSED;
+            SoakMesh.Response response = SoakMesh.readResponse(socket);
+            status = response.status();
+            end = End.ANSWERED;
+            if (status == 200 && !response.body().equals(id)) {
+                throw new IllegalStateException(id + " got the answer " + response.body());
+            }
+        } catch (SocketTimeoutException e) {
+            end = leaves ? End.LEFT : End.SILENT;
+        } catch (IOException e) {
+            // The end that was reached stands.
+        }
+        return new Request(id, isIdempotent, sidecar, end, status, startedNs, System.nanoTime());
+    }
+}
