--- a/src/main/java/bramblespool/proxy/ExchangeMonitor.java
+++ b/src/main/java/bramblespool/proxy/ExchangeMonitor.java
@@ -8,7 +8,6 @@
 import io.undertow.server.HttpServerExchange;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
 import org.xnio.IoUtils;
 
@@ -41,6 +40,8 @@
         void endForShutdown();
     }
 
+    private static final int OVERDUE_CHECKS = 2;
+
     private final Clock clock;
     private final Counters counters;
     private final long overdueMs;
@@ -85,14 +86,13 @@
         }
     }
 
+    /** An exchange counts at the second check in a row, for after a pause of the process its timers come late. */
     private void checkOverdue() {
-        long nowMs = clock.nowMs();
-        List<MonitoredExchange> overdue = inFlight.stream()
-                .filter(exchange -> exchange.isOverdue(nowMs - overdueMs))
-                .toList();
-        for (MonitoredExchange exchange : overdue) {
-            exchange.isReportedOverdue = true;
-            metrics.recordViolation(Metric.VIOLATIONS_OVERDUE, exchange.describe());
+        long limitMs = clock.nowMs() - overdueMs;
+        for (MonitoredExchange exchange : inFlight) {
+            if (exchange.isOverdue(limitMs) && ++exchange.overdueChecks == OVERDUE_CHECKS) {
+                metrics.recordViolation(Metric.VIOLATIONS_OVERDUE, exchange.describe());
+            }
         }
     }
 
@@ -102,7 +102,7 @@
         private final ForwardedRequest request;
         private final Owner owner;
         private boolean hasClientClosed;
-        private boolean isReportedOverdue;
+        private int overdueChecks;
 
         private MonitoredExchange(HttpServerExchange exchange, ForwardedRequest request, Owner owner) {
             this.exchange = exchange;
@@ -135,7 +135,7 @@
         }
 
         private boolean isOverdue(long nowMs) {
-            return !isReportedOverdue && !exchange.isResponseStarted() && nowMs > request.deadlineMs();
+            return !exchange.isResponseStarted() && nowMs > request.deadlineMs();
         }
 
         private String describe() {
