--- a/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
+++ b/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
@@ -17,6 +17,7 @@
 import bramblespool.coordination.singleton.UsageWindows;
 import bramblespool.coordination.tenancy.AdmissionClient;
 import bramblespool.coordination.tenancy.IdempotencyTable;
+import bramblespool.coordination.traffic.AdmissionSettings;
 import bramblespool.coordination.traffic.RetryBudget;
 import bramblespool.coordination.traffic.ServerAdmission;
 import bramblespool.coordination.traffic.ServerAdmissions;
@@ -153,15 +154,11 @@
         if (settings.isEdge()) {
             this.serverAdmission = null;
             this.assignedEndpoints = new AssignedEndpoints(
-                    clock,
-                    ServerAdmission.AdmissionSettings.forRegistry(settings),
-                    admissions,
-                    this::publishOwnEntry,
-                    log);
+                    clock, AdmissionSettings.forRegistry(settings), admissions, this::publishOwnEntry, log);
         } else {
             this.serverAdmission = new ServerAdmission(
                     clock,
-                    ServerAdmission.AdmissionSettings.forHeartbeats(settings),
+                    AdmissionSettings.forHeartbeats(settings),
                     settings.applicationAddress(),
                     settings.serviceName(),
                     this::publishOwnEntry,
--- a/src/main/java/bramblespool/coordination/discovery/AssignedEndpoints.java
+++ b/src/main/java/bramblespool/coordination/discovery/AssignedEndpoints.java
@@ -1,5 +1,6 @@
 package bramblespool.coordination.discovery;
 
+import bramblespool.coordination.traffic.AdmissionSettings;
 import bramblespool.coordination.traffic.ServerAdmission;
 import bramblespool.coordination.traffic.ServerAdmissions;
 import bramblespool.protocol.RegistryPage;
@@ -31,7 +32,7 @@
     }
 
     private final Clock clock;
-    private final ServerAdmission.AdmissionSettings admissionSettings;
+    private final AdmissionSettings admissionSettings;
     private final ServerAdmissions admissions;
     private final Runnable onChange;
     private final EventLog log;
@@ -46,7 +47,7 @@
      */
     public AssignedEndpoints(
             Clock clock,
-            ServerAdmission.AdmissionSettings admissionSettings,
+            AdmissionSettings admissionSettings,
             ServerAdmissions admissions,
             Runnable onChange,
             EventLog log) {
--- a/src/main/java/bramblespool/proxy/ExchangeMonitor.java
+++ b/src/main/java/bramblespool/proxy/ExchangeMonitor.java
@@ -69,7 +69,10 @@
             next.proceed();
         });
         if (request.body().isComplete()) {
-            ClientConnectionWatch.start(exchange, monitored::onClientClosed);
+            monitored.watch();
+        } else {
+            // Until then the client's close shows as an incomplete body.
+            request.cancellation().whenBodySent(monitored::watch);
         }
     }
 
@@ -110,6 +113,12 @@
             this.owner = owner;
         }
 
+        private void watch() {
+            if (!exchange.isComplete()) {
+                ClientConnectionWatch.start(exchange, this::onClientClosed);
+            }
+        }
+
         private void onClientClosed() {
             hasClientClosed = true;
             log.log(Event.CLIENT_CLOSED, "attempt", request.attemptId(), "stage", owner.stage());
--- a/src/main/java/bramblespool/proxy/PeerAttempt.java
+++ b/src/main/java/bramblespool/proxy/PeerAttempt.java
@@ -137,6 +137,11 @@
         }
     }
 
+    @Override
+    public void onBodySent() {
+        request.cancellation().onBodySent();
+    }
+
     @Override
     public void onFailure(UpstreamClient.SendProgress progress, String cause) {
         forwarder.endpointDirectory.markSuspected(endpoint.proxy);
--- a/src/main/java/bramblespool/proxy/RequestCancellation.java
+++ b/src/main/java/bramblespool/proxy/RequestCancellation.java
@@ -17,6 +17,7 @@
     private final ClientClosePolicy policy;
     private final Metrics metrics;
     private final Set<Registration> registrations = new LinkedHashSet<>(4);
+    private Runnable bodySentListener = () -> {};
     private boolean isCancelled;
 
     RequestCancellation(ClientClosePolicy policy, Metrics metrics) {
@@ -53,6 +54,15 @@
         return registration;
     }
 
+    /** The listener runs once a body that is streamed has been read to its end. */
+    void whenBodySent(Runnable listener) {
+        bodySentListener = listener;
+    }
+
+    void onBodySent() {
+        bodySentListener.run();
+    }
+
     /** Whether the request may be sent on; a violation is counted where its client was seen to leave. */
     boolean checkMaySend(String attemptId) {
         if (isCancelled) {
--- a/src/main/java/bramblespool/proxy/ServerAttempt.java
+++ b/src/main/java/bramblespool/proxy/ServerAttempt.java
@@ -1,5 +1,6 @@
 package bramblespool.proxy;
 
+import bramblespool.coordination.traffic.AdmissionTicket;
 import bramblespool.coordination.traffic.ServerAdmission;
 import bramblespool.protocol.ExecutionOutcome;
 import bramblespool.protocol.HeaderNames;
@@ -25,7 +26,7 @@
     private final ServerAdmission serverAdmission;
     private final ForwardedRequest request;
     private final AttemptResult.Listener listener;
-    private ServerAdmission.AdmissionTicket ticket;
+    private AdmissionTicket ticket;
     private boolean isAdmittedImmediately;
     private String serverId;
     private UpstreamClient.Call upstreamCall;
@@ -208,6 +209,11 @@
         }
     }
 
+    @Override
+    public void onBodySent() {
+        request.cancellation().onBodySent();
+    }
+
     @Override
     public void onFailure(UpstreamClient.SendProgress progress, String cause) {
         if (progress == UpstreamClient.SendProgress.NOT_SENT) {
--- a/src/main/java/bramblespool/transport/UpstreamClient.java
+++ b/src/main/java/bramblespool/transport/UpstreamClient.java
@@ -48,6 +48,9 @@
          */
         void onResponse(Response response);
 
+        /** A body that was not complete at first has been sent to its end; may be called before or after the others. */
+        default void onBodySent() {}
+
         /** No usable response arrived. */
         void onFailure(SendProgress progress, String cause);
     }
@@ -207,13 +210,20 @@
                         request.body,
                         requestChannel,
                         bufferPool,
-                        () -> isRequestWritten = true,
+                        this::onBodyWritten,
                         e -> fail(SendProgress.POSSIBLY_SENT, "body not sent: " + e.getMessage()));
             } else {
                 isRequestWritten = true;
             }
         }
 
+        private void onBodyWritten() {
+            isRequestWritten = true;
+            if (!request.body.isComplete()) {
+                listener.onBodySent();
+            }
+        }
+
         private void handleResponse(ClientExchange exchange) {
             if (isFinished) {
                 return;
--- a/src/test/java/bramblespool/coordination/traffic/ServerAdmissionTest.java
+++ b/src/test/java/bramblespool/coordination/traffic/ServerAdmissionTest.java
@@ -27,7 +27,7 @@
     private final Simulator simulator = new Simulator(1);
     private final SimulatedMachine machine = simulator.machine("10.0.1.1:7000");
     private final List<Long> arrivals = new ArrayList<>();
-    private final List<ServerAdmission.Rejection> rejections = new ArrayList<>();
+    private final List<Rejection> rejections = new ArrayList<>();
     private int running;
     private int maxRunning;
     private long sequence;
@@ -38,7 +38,7 @@
         machine.boot();
         admission = new ServerAdmission(
                 machine,
-                new ServerAdmission.AdmissionSettings(1500, 833, 2500, 1.5, 5),
+                new AdmissionSettings(1500, 833, 2500, 1.5, 5),
                 "10.0.1.1:9000",
                 "desk",
                 () -> {},
@@ -52,7 +52,7 @@
     }
 
     private void send(int rank, long workMs) {
-        ServerAdmission.AdmissionTicket[] ticket = new ServerAdmission.AdmissionTicket[1];
+        AdmissionTicket[] ticket = new AdmissionTicket[1];
         ticket[0] = admission.admit(
                 "r",
                 rank,
@@ -108,7 +108,7 @@
         admissions.applyConfiguration(RoutingConfigurationParser.parse(SimulatedMesh.document(5, 0, "one")));
         admission = new ServerAdmission(
                 machine,
-                new ServerAdmission.AdmissionSettings(0, 0, 2500, 1.5, 5),
+                new AdmissionSettings(0, 0, 2500, 1.5, 5),
                 "10.0.1.1:9000",
                 "desk",
                 () -> {},
@@ -235,7 +235,7 @@
     void queueIsOrderedByRankThenArrival() {
         heartbeat("i1", false, 0);
         ArrayDeque<String> order = new ArrayDeque<>();
-        List<ServerAdmission.AdmissionTicket> tickets = new ArrayList<>();
+        List<AdmissionTicket> tickets = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             tickets.add(admission.admit("r", 1, 600, simulator.nowMs() + 1500, () -> {}, rejections::add));
         }
@@ -289,7 +289,7 @@
     void partlyFailingServerIsDownweightedAndRecovers() {
         heartbeat("i1", false, 0);
         for (int i = 0; i < 40; i++) {
-            ServerAdmission.AdmissionTicket[] ticket = new ServerAdmission.AdmissionTicket[1];
+            AdmissionTicket[] ticket = new AdmissionTicket[1];
             ticket[0] = admission.admit("r", 1, 1000, simulator.nowMs() + 1000, () -> {}, r -> {});
             ticket[0].recordOutcome(i % 2 == 0);
             ticket[0].release(false);
@@ -322,4 +322,63 @@
         admission.check();
         assertEquals(0, admission.slownessLevel(), "and the level decays, so that it is tried again");
     }
+
+    @Test
+    void cancelledRequestLeavesQueueWithoutCallback() {
+        heartbeat("s-1", false, 0);
+        List<AdmissionTicket> runningTickets = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            runningTickets.add(admit(() -> {}));
+        }
+        AdmissionTicket queued = admit(() -> running++);
+        assertEquals(7, admission.load());
+        queued.cancel();
+        assertEquals(6, admission.load());
+        runningTickets.forEach(ticket -> ticket.release(true));
+        simulator.run(5000);
+        assertEquals(0, running, "it never started");
+        assertEquals(List.of(), rejections);
+        assertNull(queued.serverId());
+    }
+
+    @Test
+    void slownessShowsThoughEveryClientLeavesEarly() {
+        heartbeat("s-1", false, 0);
+        for (int i = 0; i < 20; i++) {
+            AdmissionTicket ticket = admit(() -> {});
+            simulator.run(20);
+            ticket.release(true);
+        }
+        assertEquals(0, admission.slownessLevel());
+        for (int i = 0; i < 20; i++) {
+            AdmissionTicket ticket = admit(() -> {});
+            simulator.run(100);
+            ticket.releaseCancelled();
+        }
+        assertEquals(2, admission.slownessLevel());
+        assertEquals(0, admission.load());
+    }
+
+    @Test
+    void earlyCancellationIsNoSampleOfLatency() {
+        heartbeat("s-1", false, 0);
+        for (int i = 0; i < 20; i++) {
+            AdmissionTicket ticket = admit(() -> {});
+            simulator.run(100);
+            ticket.release(true);
+        }
+        for (int i = 0; i < 200; i++) {
+            AdmissionTicket ticket = admit(() -> {});
+            simulator.run(1);
+            ticket.releaseCancelled();
+        }
+        AdmissionTicket usual = admit(() -> {});
+        simulator.run(100);
+        usual.release(true);
+        assertEquals(0, admission.slownessLevel(), "100 ms is still usual");
+    }
+
+    private AdmissionTicket admit(Runnable onAdmitted) {
+        return admission.admit("r", 1, 600, simulator.nowMs() + 1500, onAdmitted, rejections::add);
+    }
 }
--- a/src/test/java/bramblespool/proxy/ClientCloseTest.java
+++ b/src/test/java/bramblespool/proxy/ClientCloseTest.java
@@ -66,6 +66,22 @@
         context.awaitCount(Metric.REQUESTS_CLIENT_CLOSED, 1);
     }
 
+    /** A body that is streamed, because it is larger than what is buffered. */
+    @ParameterizedTest
+    @ValueSource(strings = {"SERVER", "PEER"})
+    void closeBehindStreamedBodyReachesEndOfChain(String hop) throws Exception {
+        String body = "x".repeat(4 * ServerForwarder.MAX_BUFFERED_BYTES);
+        try (Socket client = context.connectAsClient()) {
+            SocketTestContext.write(
+                    client,
+                    SocketTestContext.request(
+                                    "left", "/" + hop + "/idempotent/hold", "Content-Length: " + body.length() + "\r\n")
+                            + body);
+            Recorder.await(recorder.faultReached);
+        }
+        awaitAbandoned("left");
+    }
+
     @Test
     void mutatingRequestAtServerRunsToItsEnd() throws Exception {
         try (Socket client = sendAndStayOpen("left", "/SERVER/mutating/hold")) {
