Cancellation: an early one is no first sample, a run at its deadline keeps its connection

Cause, from reading the mend against the timeline: a run broken off after some ms would have been the first sample of its route's latency and made every later one look slow; clients leave at their deadline, when the server's own 504 is on its way, and closing its connection then costs a new one; a run that was not yet written counted as begun; exchanges that were answered counted as ended by the shutdown.

--- a/src/main/java/bramblespool/coordination/traffic/LatencyEstimator.java
+++ b/src/main/java/bramblespool/coordination/traffic/LatencyEstimator.java
@@ -35,9 +35,10 @@
         return meanMs == UNKNOWN ? INITIAL_MS : meanMs + DEVIATIONS * Math.max(0, deviationByRoute.getDouble(route));
     }
 
-    /** Whether a request of the route that has taken this long is slower than usual. */
+    /** Whether a request of the route that has taken this long is slower than usual; false while nothing is known. */
     boolean exceedsMean(String route, long elapsedMs) {
-        return elapsedMs > meanByRoute.getDouble(route);
+        double meanMs = meanByRoute.getDouble(route);
+        return meanMs != UNKNOWN && elapsedMs > meanMs;
     }
 
     /** The mean over all routes, in ms. */
--- a/src/main/java/bramblespool/proxy/ExchangeMonitor.java
+++ b/src/main/java/bramblespool/proxy/ExchangeMonitor.java
@@ -36,8 +36,8 @@
         /** What the request is waiting for, for the log. */
         String stage();
 
-        /** The process ends: the exchange is to be answered now. */
-        void endForShutdown();
+        /** The process ends: the exchange is to be answered now; returns whether it had no answer yet. */
+        boolean endForShutdown();
     }
 
     private static final int OVERDUE_CHECKS = 2;
@@ -84,8 +84,9 @@
     /** Answers every exchange that is not complete, because the process ends. */
     void endForShutdown() {
         for (MonitoredExchange exchange : new ArrayList<>(inFlight)) {
-            metrics.increment(Metric.REQUESTS_ENDED_AT_SHUTDOWN);
-            exchange.owner.endForShutdown();
+            if (exchange.owner.endForShutdown()) {
+                metrics.increment(Metric.REQUESTS_ENDED_AT_SHUTDOWN);
+            }
         }
     }
 
--- a/src/main/java/bramblespool/proxy/InboundExchange.java
+++ b/src/main/java/bramblespool/proxy/InboundExchange.java
@@ -47,15 +47,16 @@
     }
 
     @Override
-    public void endForShutdown() {
+    public boolean endForShutdown() {
         if (isAnswered) {
-            return;
+            return false;
         }
         onResult(
                 attempt.abort() == ExecutionOutcome.NOT_EXECUTED
                         ? AttemptResult.notExecuted("leaving", 0, false)
                         : AttemptResult.possiblyExecuted("shutting down"),
                 null);
+        return true;
     }
 
     private void onResult(AttemptResult result, AttemptResult.RelayCompletion relayCompletion) {
--- a/src/main/java/bramblespool/proxy/ProxiedExchange.java
+++ b/src/main/java/bramblespool/proxy/ProxiedExchange.java
@@ -230,15 +230,16 @@
     }
 
     @Override
-    public void endForShutdown() {
+    public boolean endForShutdown() {
         if (isFinished) {
-            return;
+            return false;
         }
         if (currentAttempt != null) {
             history.recordAborted(currentAttempt.abort());
             currentAttempt = null;
         }
         giveUp(DEFAULT_RETRY_AFTER_MS, "shutting down");
+        return true;
     }
 
     private void startNextAttempt() {
--- a/src/main/java/bramblespool/proxy/ServerAttempt.java
+++ b/src/main/java/bramblespool/proxy/ServerAttempt.java
@@ -79,9 +79,14 @@
         registration.close();
     }
 
-    /** The client has left: ends the attempt, save a run at the server that is not to be broken off. */
+    /**
+     * The client has left: ends the attempt, save a run at the server that is not to be broken off, or that ends at its
+     * deadline about now, so that closing the connection would gain nothing.
+     */
     private void onCancelled() {
-        if (isSent() && request.cancellation().policy() == ClientClosePolicy.FINISH_RUN) {
+        boolean mayEndByItself = request.cancellation().policy() == ClientClosePolicy.FINISH_RUN
+                || request.deadlineMs() - forwarder.clock.nowMs() <= DEADLINE_GRACE_MS;
+        if (mayEndByItself && isSent() && upstreamCall.isRequestSent()) {
             registration.close();
             forwarder.metrics.increment(Metric.SERVER_REQUESTS_DETACHED);
         } else {
--- a/src/test/java/bramblespool/coordination/traffic/ServerAdmissionTest.java
+++ b/src/test/java/bramblespool/coordination/traffic/ServerAdmissionTest.java
@@ -378,6 +378,20 @@
         assertEquals(0, admission.slownessLevel(), "100 ms is still usual");
     }
 
+    @Test
+    void cancellationIsNotTheFirstSampleOfLatency() {
+        heartbeat("s-1", false, 0);
+        AdmissionTicket left = admit(() -> {});
+        simulator.run(2);
+        left.releaseCancelled();
+        for (int i = 0; i < 20; i++) {
+            AdmissionTicket ticket = admit(() -> {});
+            simulator.run(100);
+            ticket.release(true);
+        }
+        assertEquals(0, admission.slownessLevel());
+    }
+
     private AdmissionTicket admit(Runnable onAdmitted) {
         return admission.admit("r", 1, 600, simulator.nowMs() + 1500, onAdmitted, rejections::add);
     }
--- a/src/test/java/bramblespool/proxy/ClientCloseTest.java
+++ b/src/test/java/bramblespool/proxy/ClientCloseTest.java
@@ -25,6 +25,8 @@
     /** Slots of the two servers of {@link SocketTestContext} together. */
     private static final int SERVER_SLOTS = 16;
 
+    private static final long RIGHT_BEFORE_DEADLINE_MS = 1480;
+
     private SocketTestContext context;
     private Recorder recorder;
 
@@ -140,6 +142,18 @@
         assertEquals(0, recorder.executionsOf("never"));
     }
 
+    @Test
+    void runThatEndsAtItsDeadlineAnywayKeepsItsConnection() throws Exception {
+        try (Socket client = sendAndStayOpen("left", "/SERVER/idempotent/hold")) {
+            Recorder.await(recorder.faultReached);
+            context.clock.advance(RIGHT_BEFORE_DEADLINE_MS);
+        }
+        context.awaitCount(Metric.SERVER_REQUESTS_DETACHED, 1);
+        recorder.mayProceed.countDown();
+        SocketTestContext.awaitOnLoop("its slot is free", () -> context.serverLoad() == 0);
+        assertEquals(List.of(), recorder.abandonedIds);
+    }
+
     @Test
     void slotOfCancelledRunIsFree() throws Exception {
         try (Socket client = sendAndStayOpen("left", "/SERVER/idempotent/hold")) {
