--- a/src/test/java/bramblespool/proxy/ClientCloseTest.java
+++ b/src/test/java/bramblespool/proxy/ClientCloseTest.java
@@ -68,6 +68,19 @@
         context.awaitCount(Metric.REQUESTS_CLIENT_CLOSED, 1);
     }
 
+    /** A response that is streamed and stalls: the client has its head and leaves. */
+    @ParameterizedTest
+    @ValueSource(strings = {"SERVER", "PEER"})
+    void closeDuringStalledResponseReachesEndOfChain(String hop) throws Exception {
+        try (Socket client = sendAndStayOpen("left", "/" + hop + "/idempotent/longStall")) {
+            assertEquals(
+                    "HTTP/1.1 200",
+                    ServerStandIn.readHead(client.getInputStream()).substring(0, 12));
+        }
+        awaitAbandoned("left");
+        SocketTestContext.awaitOnLoop("its slot is free", () -> context.serverLoad() == 0);
+    }
+
     /** A body that is streamed, because it is larger than what is buffered. */
     @ParameterizedTest
     @ValueSource(strings = {"SERVER", "PEER"})
--- a/src/test/java/bramblespool/proxy/ServerStandIn.java
+++ b/src/test/java/bramblespool/proxy/ServerStandIn.java
@@ -176,6 +176,12 @@
                 }
                 client.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
                 client.getOutputStream().flush();
+                if (fault.equals("longStall")) {
+                    if (isClosedWhileHeld(client)) {
+                        recorder.abandonedIds.add(id);
+                    }
+                    return;
+                }
                 if (fault.equals("resetAfter")) {
                     Recorder.await(recorder.mayProceed);
                 }
@@ -248,7 +254,7 @@
             case "lengthAndChunks" ->
                 success.replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n") + "\r\n0\r\n\r\n";
             case "noLength" -> success.replace("Content-Length", "X-Length");
-            case "longCut" -> success.replace("Length: ", "Length: 99999") + "x".repeat(200_000);
+            case "longCut", "longStall" -> success.replace("Length: ", "Length: 99999") + "x".repeat(200_000);
             case "longChunksCut" ->
                 success.substring(0, success.indexOf("Content-Length")) + "Transfer-Encoding: chunked\r\n\r\n30d40\r\n"
                         + "x".repeat(200_000) + "\r\n";
