--- a/src/test/java/bramblespool/cluster/GracefulShutdownTest.java
+++ b/src/test/java/bramblespool/cluster/GracefulShutdownTest.java
@@ -5,17 +5,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import bramblespool.state.EventLog;
+import bramblespool.testing.RawHttp;
 import bramblespool.testing.SimulatedMesh;
 import bramblespool.transport.EventLoop;
 import java.io.EOFException;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -48,7 +46,7 @@
         loop = new EventLoop(EventLog.silent());
         mesh = new LoopbackMesh(SIDECAR_IP, CONTROLLER_IP);
         server = new ServerSocket(mesh.serverPort, 50, InetAddress.getByName(SIDECAR_IP));
-        startThread(this::serve);
+        RawHttp.startThread(this::serve);
         mesh.start(loop, dir, "");
         String document = SimulatedMesh.document(3, 0, "x")
                 .replace("idempotent", "mutating")
@@ -67,35 +65,19 @@
         server.close();
     }
 
-    private interface IoTask {
-        void run() throws Exception;
-    }
-
-    private static void startThread(IoTask task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (Exception e) {
-                // A socket was closed: the test is over, or the other side has left.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     /** Answers at once, but a request whose path ends with {@code hold} only when the test lets it. */
     private void serve() throws Exception {
         while (true) {
             Socket accepted = server.accept();
-            startThread(() -> {
+            RawHttp.startThread(() -> {
                 while (true) {
-                    String head = readHead(accepted.getInputStream());
+                    String head = RawHttp.readHead(accepted.getInputStream());
                     if (head.contains("/hold ")) {
                         requestArrived.countDown();
                         mayAnswer.await();
                     }
-                    String id = head.replaceAll("(?is).*x-attempt-id: *(\\S+).*", "$1");
-                    write(
+                    String id = RawHttp.header(head, "X-Attempt-Id", "none");
+                    RawHttp.write(
                             accepted,
                             "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id
                                     + "\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok");
@@ -113,31 +95,10 @@
                 + "\r\n\r\n";
     }
 
-    private static void write(Socket socket, String text) throws IOException {
-        OutputStream output = socket.getOutputStream();
-        output.write(text.getBytes(StandardCharsets.ISO_8859_1));
-        output.flush();
-    }
-
-    private static String readHead(InputStream input) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int octet = input.read();
-            if (octet < 0) {
-                throw new EOFException();
-            }
-            head.append((char) octet);
-        }
-        return head.toString();
-    }
-
-    /** The status of the next response, whose body is read; 0 where the connection ends without one. */
+    /** The status of the next response; 0 where the connection ends without one. */
     private static int readStatus(Socket socket) throws IOException {
         try {
-            String head = readHead(socket.getInputStream());
-            int length = Integer.parseInt(head.replaceAll("(?is).*content-length: *(\\d+).*", "$1"));
-            socket.getInputStream().readNBytes(length);
-            return Integer.parseInt(head.substring(9, 12));
+            return RawHttp.readResponse(socket).status();
         } catch (EOFException e) {
             return 0;
         }
@@ -154,7 +115,7 @@
         for (long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(HANG_TIMEOUT_S);
                 actual != status && System.nanoTime() < endNs; ) {
             try (Socket socket = connect(ip, port)) {
-                write(socket, request);
+                RawHttp.write(socket, request);
                 actual = readStatus(socket);
             }
         }
@@ -163,7 +124,7 @@
 
     private Socket sendHeldRequest(long deadlineMs) throws Exception {
         Socket client = connect(SIDECAR_IP, mesh.outboundPort);
-        write(client, request("/x/hold", deadlineMs));
+        RawHttp.write(client, request("/x/hold", deadlineMs));
         requestArrived.await();
         return client;
     }
@@ -204,7 +165,7 @@
                 Socket client = sendHeldRequest(60_000)) {
             CompletableFuture<Void> stopped = mesh.stopSidecar(loop, GRACE_MS);
             awaitListenersClosed();
-            write(kept, request("/x/late", 100_000));
+            RawHttp.write(kept, request("/x/late", 100_000));
             int status = readStatus(kept);
             mayAnswer.countDown();
             assertEquals(200, readStatus(client));
--- a/src/test/java/bramblespool/soak/SoakFaults.java
+++ b/src/test/java/bramblespool/soak/SoakFaults.java
@@ -1,5 +1,6 @@
 package bramblespool.soak;
 
+import bramblespool.testing.RawHttp;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -85,7 +86,7 @@
         }
     }
 
-    private void disturb(SoakProcess process, SoakMesh.Task task) {
+    private void disturb(SoakProcess process, RawHttp.Task task) {
         synchronized (disturbed) {
             long alike = disturbed.stream()
                     .filter(other -> other.role.equals(process.role))
@@ -109,7 +110,7 @@
         });
     }
 
-    private void play(SoakMesh.Task task) {
+    private void play(RawHttp.Task task) {
         count++;
         Thread thread = new Thread(() -> {
             try {
--- a/src/test/java/bramblespool/soak/SoakMesh.java
+++ b/src/test/java/bramblespool/soak/SoakMesh.java
@@ -1,11 +1,8 @@
 package bramblespool.soak;
 
+import bramblespool.testing.RawHttp;
 import bramblespool.testing.SimulatedMesh;
-import java.io.EOFException;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -121,7 +118,7 @@
         for (int i = 0; i < SIDECARS; i++) {
             SoakProcess sidecar = sidecars.get(i);
             int number = i;
-            startThread(() -> sendHeartbeats(sidecar, number));
+            RawHttp.startThread(() -> sendHeartbeats(sidecar, number));
             await("readiness", () -> get(sidecar, READY_PORT, "/bramblespool/readiness") == 200);
         }
         for (int i = 0; i < CONTROLLERS; i++) {
@@ -160,22 +157,6 @@
         boolean holds() throws Exception;
     }
 
-    interface Task {
-        void run() throws Exception;
-    }
-
-    static void startThread(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (Exception e) {
-                // A socket was closed, or a process is gone.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     static void await(String what, Condition condition) throws Exception {
         long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_TIMEOUT_S);
         while (!condition.holds()) {
@@ -192,62 +173,16 @@
                         process.ip,
                         CONTROL_PORT,
                         "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
-                .status;
+                .status();
     }
 
     private static int get(SoakProcess process, int port, String path) {
-        return call(process.ip, port, "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n").status;
+        return call(process.ip, port, "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n")
+                .status();
     }
 
-    /** A response; status 0 where the connection ended before it was complete. */
-    record Response(int status, String body) {
-        static final Response NONE = new Response(0, "");
-    }
-
-    static Response call(String ip, int port, String request) {
-        try (Socket socket = new Socket(ip, port)) {
-            socket.setSoTimeout(CALL_TIMEOUT_MS);
-            write(socket, request);
-            return readResponse(socket);
-        } catch (IOException e) {
-            return Response.NONE;
-        }
-    }
-
-    static Response readResponse(Socket socket) throws IOException {
-        String head = readHead(socket.getInputStream());
-        int length = Integer.parseInt(header(head, "Content-Length", "0"));
-        byte[] body = socket.getInputStream().readNBytes(length);
-        if (body.length < length) {
-            throw new EOFException();
-        }
-        return new Response(Integer.parseInt(head.substring(9, 12)), new String(body, StandardCharsets.UTF_8));
-    }
-
-    static void write(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-        socket.getOutputStream().flush();
-    }
-
-    static String readHead(InputStream input) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int octet = input.read();
-            if (octet < 0) {
-                throw new EOFException();
-            }
-            head.append((char) octet);
-        }
-        return head.toString();
-    }
-
-    static String header(String head, String name, String defaultValue) {
-        for (String line : head.split("\r\n")) {
-            if (line.regionMatches(true, 0, name + ":", 0, name.length() + 1)) {
-                return line.substring(name.length() + 1).strip();
-            }
-        }
-        return defaultValue;
+    static RawHttp.Response call(String ip, int port, String request) {
+        return RawHttp.call(ip, port, request, CALL_TIMEOUT_MS);
     }
 
     /** Reports of faults in the logs of all processes. */
--- a/src/test/java/bramblespool/soak/SoakOperator.java
+++ b/src/test/java/bramblespool/soak/SoakOperator.java
@@ -1,5 +1,6 @@
 package bramblespool.soak;
 
+import bramblespool.testing.RawHttp;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -72,7 +73,7 @@
     /** A read answers the newest acknowledged version, or that it cannot be sure. */
     private void read(SoakProcess controller) {
         long before = acknowledged;
-        SoakMesh.Response response = SoakMesh.call(
+        RawHttp.Response response = SoakMesh.call(
                 controller.ip, SoakMesh.CONTROL_PORT, "GET /bramblespool/config/read HTTP/1.1\r\nHost: h\r\n\r\n");
         if (response.status() == 200) {
             Matcher matcher = EPOCH.matcher(response.body());
@@ -87,7 +88,7 @@
         long[] epoch = new long[1];
         SoakMesh.await("a read", () -> {
             for (SoakProcess controller : mesh.controllers) {
-                SoakMesh.Response response = SoakMesh.call(
+                RawHttp.Response response = SoakMesh.call(
                         controller.ip,
                         SoakMesh.CONTROL_PORT,
                         "GET /bramblespool/config/read HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/src/test/java/bramblespool/soak/SoakServer.java
+++ b/src/test/java/bramblespool/soak/SoakServer.java
@@ -1,5 +1,6 @@
 package bramblespool.soak;
 
+import bramblespool.testing.RawHttp;
 import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -66,7 +67,7 @@
         this.number = number;
         this.ledger = ledger;
         this.socket = new ServerSocket(port, 100, InetAddress.getByName(ip));
-        SoakMesh.startThread(this::accept);
+        RawHttp.startThread(this::accept);
     }
 
     void setSlow(boolean slow) {
@@ -85,7 +86,7 @@
     private void accept() throws IOException {
         while (true) {
             Socket accepted = socket.accept();
-            SoakMesh.startThread(() -> serve(accepted));
+            RawHttp.startThread(() -> serve(accepted));
         }
     }
 
@@ -93,9 +94,9 @@
         try (connection) {
             while (true) {
                 connection.setSoTimeout(0);
-                String head = SoakMesh.readHead(connection.getInputStream());
-                connection.getInputStream().readNBytes(Integer.parseInt(SoakMesh.header(head, "Content-Length", "0")));
-                String id = SoakMesh.header(head, "X-Attempt-Id", "none");
+                String head = RawHttp.readHead(connection.getInputStream());
+                connection.getInputStream().readNBytes(Integer.parseInt(RawHttp.header(head, "Content-Length", "0")));
+                String id = RawHttp.header(head, "X-Attempt-Id", "none");
                 Run run = ledger.begin(id, number);
                 boolean isConnected = work(connection);
                 run.wasDropped = !isConnected;
@@ -103,7 +104,7 @@
                 if (!isConnected || lostAnswers.getAndUpdate(n -> Math.max(0, n - 1)) > 0) {
                     return;
                 }
-                SoakMesh.write(
+                RawHttp.write(
                         connection,
                         "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Server-Seal: s\r\nContent-Length: "
                                 + id.length() + "\r\n\r\n" + id);
--- a/src/test/java/bramblespool/soak/SoakTraffic.java
+++ b/src/test/java/bramblespool/soak/SoakTraffic.java
@@ -1,5 +1,6 @@
 package bramblespool.soak;
 
+import bramblespool.testing.RawHttp;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -87,12 +88,12 @@
         int status = 0;
         try (Socket socket = new Socket(mesh.sidecars.get(sidecar).ip, SoakMesh.OUTBOUND_PORT)) {
             socket.setSoTimeout(leaves ? 1 + random.nextInt(MAX_LEAVE_MS) : PATIENCE_MS);
-            SoakMesh.write(
+            RawHttp.write(
                     socket,
                     "POST /" + (isIdempotent ? "i" : "m") + "/x HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: " + id
                             + "\r\nX-Deadline-Ms: " + DEADLINE_MS + "\r\nContent-Length: 4\r\n\r\nbody");
             end = End.CLOSED;
-            SoakMesh.Response response = SoakMesh.readResponse(socket);
+            RawHttp.Response response = RawHttp.readResponse(socket);
             status = response.status();
             end = End.ANSWERED;
             if (status == 200 && !response.body().equals(id)) {
