A method without a caller goes; a queue position is worked out once

Cause, from reading the change once more: ExchangeMonitor.inFlight had no caller, and AdmissionQueue.add searched again for the position that RequestScheduler had just worked out. No change of behaviour.

--- a/src/main/java/bramblespool/coordination/traffic/AdmissionQueue.java
+++ b/src/main/java/bramblespool/coordination/traffic/AdmissionQueue.java
@@ -24,8 +24,9 @@
         return position;
     }
 
-    void add(AdmissionTicket ticket) {
-        tickets.add(positionOf(ticket), ticket);
+    /** Adds a ticket at its {@link #positionOf}. */
+    void add(int position, AdmissionTicket ticket) {
+        tickets.add(position, ticket);
     }
 
     AdmissionTicket removeFirst() {
--- a/src/main/java/bramblespool/coordination/traffic/RequestScheduler.java
+++ b/src/main/java/bramblespool/coordination/traffic/RequestScheduler.java
@@ -96,7 +96,7 @@
                             (waitMs + msPerStart))));
             return ticket;
         }
-        queue.add(ticket);
+        queue.add(queuePosition, ticket);
         long timeoutMs = Math.max(1, arrival.deadlineMs - nowMs - (long) (expectedMs * MIN_RUN_SHARE));
         ticket.setTimeout(clock.schedule(timeoutMs, () -> {
             if (queue.remove(ticket)) {
--- a/src/main/java/bramblespool/proxy/ExchangeMonitor.java
+++ b/src/main/java/bramblespool/proxy/ExchangeMonitor.java
@@ -76,11 +76,6 @@
         }
     }
 
-    /** Exchanges that are not complete. */
-    int inFlight() {
-        return inFlight.size();
-    }
-
     /** Answers every exchange that is not complete, because the process ends. */
     void endForShutdown() {
         for (MonitoredExchange exchange : new ArrayList<>(inFlight)) {
