Review: a reservation used late lets a key run twice inside keyWindow

Cause: a reservation that a refused try has won is used again by a later try without a round at the controllers; they forget it counted from the first try, and another proxy reserves the key anew after the run. Nothing is fixed.

--- a/review/standins/src/review/AppServer.java
+++ b/review/standins/src/review/AppServer.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -40,8 +42,11 @@
     private volatile boolean isClosed;
     private volatile boolean isPaused;
     volatile long workMs = 20;
-    /** While above 0, the answers of requests that were run are lost: the connection is closed in their place. */
-    final AtomicInteger answersToLose = new AtomicInteger();
+    /** While above 0, one in so many answers is lost: the connection is reset in its place. */
+    volatile int loseEvery;
+    private final AtomicInteger ended = new AtomicInteger();
+    /** The keys of the requests that run now. */
+    private final Set<String> keysAtWork = ConcurrentHashMap.newKeySet();
     volatile int bodyBytes = 200;
 
     AppServer(Mesh mesh, Mesh.Machine machine, String service, String id) throws IOException {
@@ -55,6 +60,11 @@
         Mesh.daemon(this::beat);
     }
 
+    /** Whether a request with this key runs here now. */
+    boolean isAtWork(String key) {
+        return keysAtWork.contains(key);
+    }
+
     /** It has not started yet: it says nothing and takes no connections. */
     void pause() {
         isPaused = true;
@@ -135,11 +145,20 @@
                     request.header("X-Caller-Service"), id, mesh.record.nowMs(), stamp));
             mesh.record.line("run server=" + id + " attempt=" + attempt + " key=" + request.header("X-Operation-Key")
                     + " tenant=" + request.header("X-Tenant") + " stamp=" + stamp);
-            if (!work(connection)) {
+            String key = request.header("X-Operation-Key");
+            if (key != null) {
+                keysAtWork.add(key);
+            }
+            boolean isConnected = work(connection);
+            if (key != null) {
+                keysAtWork.remove(key);
+            }
+            if (!isConnected) {
                 return false;
             }
-            if (answersToLose.getAndUpdate(n -> Math.max(0, n - 1)) > 0) {
+            if (loseEvery > 0 && ended.incrementAndGet() % loseEvery == 0) {
                 mesh.record.line("answer lost server=" + id + " attempt=" + attempt);
+                connection.setSoLinger(true, 0);
                 return false;
             }
             byte[] body = (stamp + " " + "x".repeat(bodyBytes)).getBytes(StandardCharsets.ISO_8859_1);
