--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec java -Xmx256m -cp target/review:target/bramblespool.jar review.LiftedLimit "${RECORD_DIR:-review/4}"
+exec java -Xmx256m -cp target/review:target/bramblespool.jar review.KeyedRepeat "${RECORD_DIR:-review/4}"
