CONFIG: an amendment builds on the committed document, not on one of its number

Cause: CandidateFactory found the configuration compiled last by its number. A number names a slot: the candidate that was given up and the version that was committed both had number 2, and the next amendment was applied to the former.

It is compared by its document now, and dropped on abort and at each change of leadership.

--- a/src/main/java/bramblespool/coordination/configuration/CandidateFactory.java
+++ b/src/main/java/bramblespool/coordination/configuration/CandidateFactory.java
@@ -21,7 +21,10 @@
     record Decided(ChangeOutcome outcome) implements Evaluation {}
 
     private final ReplicatedState replicatedState;
-    /** The version compiled last, which spares a leader compiling its own candidate again for the next amendment. */
+    /**
+     * The document compiled last, or null: it spares a leader compiling its own candidate again for the next amendment.
+     * It need not be the version in force: a candidate may be aborted, or lose to another one of the same number.
+     */
     private RoutingConfiguration lastCompiled;
 
     CandidateFactory(ReplicatedState replicatedState) {
@@ -67,13 +70,18 @@
         lastCompiled = candidate;
     }
 
+    /** The candidate was aborted, or this controller does not lead any more: nothing is kept of it. */
+    void dropCandidate() {
+        lastCompiled = null;
+    }
+
     /** The version in force; null before the first. */
     private RoutingConfiguration currentConfiguration() throws InvalidConfigurationException {
         ReplicatedState.Version version = replicatedState.current();
         if (version.compressedDocument() == null) {
             return null;
         }
-        if (lastCompiled == null || lastCompiled.epoch() != version.epoch()) {
+        if (lastCompiled == null || !lastCompiled.compressedDocument().equals(version.compressedDocument())) {
             lastCompiled = RoutingConfigurationParser.parseCompressed(version.compressedDocument());
         }
         return lastCompiled;
--- a/src/main/java/bramblespool/coordination/configuration/ShadowCommitCoordinator.java
+++ b/src/main/java/bramblespool/coordination/configuration/ShadowCommitCoordinator.java
@@ -81,6 +81,7 @@
     /** Begins or ends this controller's leadership. A new leader first finishes what the last one left. */
     public void onLeadershipChanged(boolean isLeader) {
         leadership.onLeadershipChanged();
+        candidates.dropCandidate();
         isBusy = false;
         if (isLeader) {
             recover();
@@ -238,6 +239,7 @@
     private void abort(long epoch, String stamp, String reason, Runnable onAborted, Runnable onLeadershipLost) {
         BooleanSupplier isStillLeading = leadership.currentLeadership();
         log.log(Event.COMMIT_ABORTED, "epoch", epoch, "cause", reason);
+        candidates.dropCandidate();
         phaseRunner.abort(epoch, stamp, members.get(), () -> {});
         commitLog.abortCandidate(epoch, outcome -> {
             if (outcome == ProposalOutcome.COMMITTED && isStillLeading.getAsBoolean()) {
--- a/src/test/java/bramblespool/cluster/StaleTermTest.java
+++ b/src/test/java/bramblespool/cluster/StaleTermTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import bramblespool.coordination.controller.ControllerNode;
@@ -708,6 +709,48 @@
                 "a higher fencing token, " + lostCount[0] + " requests for it");
     }
 
+    /**
+     * Guards against an acknowledged change being lost to a refused one of the same number (CONFIG): a leader stands
+     * still with its candidate stored, its successor commits another one, and then the first leads again.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void leaderThatLeadsAgainAmendsTheCommittedVersion(long seed) {
+        SimulatedMesh mesh = newMesh(seed, 3, 4);
+        String firstLeader = leaderPeer(mesh);
+        ControllerNode first = mesh.leader();
+        mesh.simulator.setIsolated(SimulatedMesh.sidecarPeer(3), true);
+        mesh.submitToLeader(SimulatedMesh.change(7, 5, "refused"), o -> {});
+        for (int i = 0; i < 2000 && first.replicatedState().candidate() == null; i++) {
+            mesh.simulator.run(1);
+        }
+        assertNotNull(first.replicatedState().candidate());
+        mesh.simulator.setIsolated(firstLeader, true);
+        mesh.simulator.run(4000);
+        mesh.simulator.setIsolated(SimulatedMesh.sidecarPeer(3), false);
+        assertEquals(200, submit(mesh, 7, 5, "taken").status());
+        mesh.simulator.setIsolated(firstLeader, false);
+        awaitStable(mesh);
+        for (int i = 0; i < 20 && mesh.leader() != first; i++) {
+            String other = leaderPeer(mesh);
+            mesh.simulator.setIsolated(other, true);
+            mesh.simulator.run(3000);
+            mesh.simulator.setIsolated(other, false);
+            awaitStable(mesh);
+        }
+        assertEquals(firstLeader, leaderPeer(mesh));
+        OperatorRequest.Result[] outcome = new OperatorRequest.Result[1];
+        mesh.submitToLeader(SimulatedMesh.amendment(8, 7, "added"), o -> outcome[0] = o);
+        mesh.simulator.run(2000);
+        assertEquals(200, outcome[0].status());
+        RoutingConfiguration current =
+                mesh.sidecars.get(SimulatedMesh.sidecarPeer(0)).shadowCommit.realConfiguration();
+        assertEquals(8, current.epoch());
+        assertNotNull(current.route("x.example", "/taken/1"), "the acknowledged change");
+        assertNotNull(current.route("x.example", "/added/1"));
+        assertNull(current.route("x.example", "/refused/1"), "the refused change");
+    }
+
     /**
      * A leader that sees a higher term while its own commit is under way sends no further phase, in whichever one it
      * was.
--- a/src/test/java/bramblespool/coordination/configuration/CandidateFactoryTest.java
+++ b/src/test/java/bramblespool/coordination/configuration/CandidateFactoryTest.java
@@ -2,10 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import bramblespool.protocol.OperatorRequest;
 import bramblespool.state.CompressedDocument;
+import bramblespool.state.ReplicatedEntry;
 import bramblespool.state.ReplicatedState;
 import bramblespool.state.ReplicatedStateSnapshotCodec;
 import bramblespool.testing.SimulatedMesh;
@@ -66,4 +69,24 @@
         assertEquals(503, new ChangeOutcome.NoMajority().toResult().status());
         assertEquals(200, new ChangeOutcome.Committed(5).toResult().status());
     }
+
+    /** Guards against an acknowledged change being lost to a refused one of the same number (CONFIG). */
+    @Test
+    void amendmentBuildsOnTheCommittedDocumentNotOnALostCandidateOfItsNumber() {
+        CandidateFactory.Candidate lost = assertInstanceOf(CandidateFactory.Candidate.class, evaluate(6, 5));
+        candidates.onCandidateStored(lost.configuration());
+        OperatorRequest.ConfigurationChange rival = SimulatedMesh.change(6, 5, "rival");
+        replicatedState.apply(
+                1,
+                new ReplicatedEntry.CandidateStored(
+                        6, 5, rival.digest(), CompressedDocument.compress(SimulatedMesh.document(6, 5, "rival"))));
+        replicatedState.apply(2, new ReplicatedEntry.CommitDecided(6));
+
+        CandidateFactory.Candidate amended = assertInstanceOf(
+                CandidateFactory.Candidate.class, candidates.evaluate(SimulatedMesh.amendment(7, 6, "added")));
+
+        assertNotNull(amended.configuration().route("x.example", "/rival/1"), "the committed version's route");
+        assertNotNull(amended.configuration().route("x.example", "/added/1"));
+        assertNull(amended.configuration().route("x.example", "/p6/1"), "the lost candidate's route");
+    }
 }
--- a/src/test/java/bramblespool/model/History.java
+++ b/src/test/java/bramblespool/model/History.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /** What operators sent and what controllers answered, each with the moments between which it took effect. */
 final class History {
@@ -18,16 +20,18 @@
         final long base;
         final long number;
         final String document;
+        final boolean isAmendment;
         final String digest;
         long sentAt = Long.MAX_VALUE;
         long acknowledgedAt = Long.MAX_VALUE;
         int rejectionStatus;
 
-        Change(int name, long base, long number, String document, String digest) {
+        Change(int name, long base, long number, String document, boolean isAmendment, String digest) {
             this.name = name;
             this.base = base;
             this.number = number;
             this.document = document;
+            this.isAmendment = isAmendment;
             this.digest = digest.substring(0, DIGEST_LENGTH);
         }
 
@@ -97,6 +101,25 @@
         });
     }
 
+    /**
+     * The path prefixes of the routes that a committed version must have: those of the last whole document, and what
+     * the amendments since have added. In the order of their names.
+     */
+    SortedSet<String> expectedPrefixes(long number) {
+        SortedSet<String> prefixes = new TreeSet<>();
+        for (Map.Entry<String, Long> version : versions.entrySet()) {
+            Change change = byDigest.get(version.getKey());
+            if (!change.isAmendment) {
+                prefixes.clear();
+            }
+            prefixes.add("/p" + change.name + "/");
+            if (version.getValue() == number) {
+                break;
+            }
+        }
+        return prefixes;
+    }
+
     /**
      * Whether all answers fit one register that goes through the committed versions in their order: each rejection and
      * each read gets the first place in that order that it allows and that no earlier answer has passed.
--- a/src/test/java/bramblespool/model/Invariants.java
+++ b/src/test/java/bramblespool/model/Invariants.java
@@ -2,7 +2,9 @@
 
 import bramblespool.coordination.controller.ControllerNode;
 import bramblespool.coordination.dataplane.DataPlaneNode;
+import bramblespool.state.CompressedDocument;
 import bramblespool.state.DurableStore;
+import bramblespool.state.InvalidConfigurationException;
 import bramblespool.state.ReplicatedEntryCodec;
 import bramblespool.state.ReplicatedState;
 import bramblespool.state.ReplicatedStateSnapshotCodec;
@@ -20,6 +22,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /** What must hold after every event, seen from outside: in messages, on disks, in ledgers and in answers. */
 final class Invariants implements Simulator.Observer {
@@ -28,6 +32,9 @@
     /** An acknowledgement is under way for no longer than this. */
     private static final long LOST_DISK_GRACE_MS = 1000;
 
+    /** Where a route's row has its path prefix. */
+    private static final int PREFIX_COLUMN = 2;
+
     private record Vote(long term, String candidate) {}
 
     private record LogPosition(long index, long term) {}
@@ -296,6 +303,7 @@
                 checkState(appliedIndex, state, RaftView.memberId(controller));
                 history.recordCommitted(new LinkedHashMap<>(
                         controller.replicatedState().snapshot().configurations().committedDigests()));
+                checkContent(controller.replicatedState().current());
                 checkStamp(controller.replicatedState().current());
                 checkStamp(controller.replicatedState().previous());
             }
@@ -319,6 +327,32 @@
         }
     }
 
+    /** A version holds what its change says, on top of the version that the change is based on. */
+    private void checkContent(ReplicatedState.Version version) {
+        if (version.epoch() == 0 || stampByVersion.containsKey(version.epoch())) {
+            return;
+        }
+        SortedSet<String> prefixes = prefixesOf(version);
+        SortedSet<String> expected = history.expectedPrefixes(version.epoch());
+        if (!prefixes.equals(expected)) {
+            throw new InvariantViolation(
+                    "AgreedIsWhatWasSent", "version " + version.epoch() + " has " + prefixes + ", not " + expected);
+        }
+    }
+
+    private static SortedSet<String> prefixesOf(ReplicatedState.Version version) {
+        SortedSet<String> prefixes = new TreeSet<>();
+        try {
+            String document = CompressedDocument.decompress(version.compressedDocument());
+            for (JsonNode route : parse(document).path("routeTable").path("rows")) {
+                prefixes.add(route.path(PREFIX_COLUMN).asText());
+            }
+        } catch (InvalidConfigurationException e) {
+            throw new InvariantViolation("AgreedIsWhatWasSent", "version " + version.epoch() + " can't be read");
+        }
+        return prefixes;
+    }
+
     private void checkStamp(ReplicatedState.Version version) {
         if (version.epoch() > 0) {
             String stamp = RoutingConfiguration.stampOf(version.compressedDocument());
--- a/src/test/java/bramblespool/model/Mutants.java
+++ b/src/test/java/bramblespool/model/Mutants.java
@@ -4,6 +4,7 @@
 import static bramblespool.model.ScheduleGenerator.Theme.BEYOND;
 import static bramblespool.model.ScheduleGenerator.Theme.CLOSING;
 import static bramblespool.model.ScheduleGenerator.Theme.CUT_OFF;
+import static bramblespool.model.ScheduleGenerator.Theme.LEADS_AGAIN;
 import static bramblespool.model.ScheduleGenerator.Theme.MIX;
 import static bramblespool.model.ScheduleGenerator.Theme.RIVALS;
 import static bramblespool.model.ScheduleGenerator.Theme.STORM;
@@ -184,6 +185,15 @@
                             COORDINATOR,
                             "        isBusy = true;\n        BooleanSupplier isStillLeading",
                             "        BooleanSupplier isStillLeading"),
+            Mutant.of("takes a document for another one of its number", LEADS_AGAIN)
+                    .replacing(
+                            CANDIDATE_FACTORY,
+                            "!lastCompiled.compressedDocument().equals(version.compressedDocument())",
+                            "lastCompiled.epoch() != version.epoch()")
+                    .replacing(
+                            COORDINATOR,
+                            "        candidates.dropCandidate();\n        isBusy = false;",
+                            "        isBusy = false;"),
             Mutant.of("records a change under another's digest", MIX)
                     .replacing(
                             REPLICATED_STATE,
--- a/src/test/java/bramblespool/model/MutantsTest.java
+++ b/src/test/java/bramblespool/model/MutantsTest.java
@@ -16,8 +16,8 @@
 
 /** The mutants fit the sources as they are now; whether the model sees them is for {@link MutantSearch}. */
 class MutantsTest {
-    /** The first five-and-thirty; a mutant is added here and not dropped. */
-    private static final int MUTANT_COUNT = 35;
+    /** A mutant is added here and not dropped. */
+    private static final int MUTANT_COUNT = 36;
 
     static Stream<Mutant> mutants() {
         return Mutants.all().stream();
--- a/src/test/java/bramblespool/model/OperatorClient.java
+++ b/src/test/java/bramblespool/model/OperatorClient.java
@@ -77,14 +77,31 @@
     OperatorCall submitChange(int name, long increment, String controller, Consumer<OperatorCall> onDone) {
         long number = knownVersion + increment;
         String document = SimulatedMesh.document(number, knownVersion, "p" + name);
+        return submit(name, number, document, false, controller, onDone);
+    }
+
+    /** As {@link #submitChange}; the change adds a route to those of the version that it is based on. */
+    OperatorCall submitAmendment(int name, long increment, String controller) {
+        long number = knownVersion + increment;
+        String document = SimulatedMesh.amendmentDocument(number, knownVersion, "p" + name);
+        return submit(name, number, document, true, controller, call -> {});
+    }
+
+    private OperatorCall submit(
+            int name,
+            long number,
+            String document,
+            boolean isAmendment,
+            String controller,
+            Consumer<OperatorCall> onDone) {
         String digest;
         try {
-            digest = OperatorRequest.parseChange(false, document.getBytes(StandardCharsets.UTF_8))
+            digest = OperatorRequest.parseChange(isAmendment, document.getBytes(StandardCharsets.UTF_8))
                     .digest();
         } catch (InvalidConfigurationException e) {
             throw new IllegalStateException(e);
         }
-        History.Change change = new History.Change(name, knownVersion, number, document, digest);
+        History.Change change = new History.Change(name, knownVersion, number, document, isAmendment, digest);
         changes.put(name, change);
         return send(change, controller, onDone);
     }
@@ -99,6 +116,7 @@
                 .objectNode()
                 .put("do", "replace")
                 .put("name", change.name)
+                .put("amend", change.isAmendment)
                 .put("doc", change.document);
         return startCall(change.toString(), message, controller, call -> {
             if (call.status == 200) {
--- a/src/test/java/bramblespool/model/OperatorEndpoint.java
+++ b/src/test/java/bramblespool/model/OperatorEndpoint.java
@@ -70,7 +70,8 @@
         OperatorRequest.ConfigurationChange change;
         try {
             change = OperatorRequest.parseChange(
-                    false, request.path("doc").asText().getBytes(StandardCharsets.UTF_8));
+                    request.path("amend").asBoolean(),
+                    request.path("doc").asText().getBytes(StandardCharsets.UTF_8));
         } catch (InvalidConfigurationException e) {
             throw new IllegalStateException(e);
         }
--- a/src/test/java/bramblespool/model/ScheduleGenerator.java
+++ b/src/test/java/bramblespool/model/ScheduleGenerator.java
@@ -23,7 +23,9 @@
         BEYOND,
         /** All go at once, again and again, in the midst of elections. */
         STORM,
-        MIX
+        MIX,
+        /** A leader stands still with its candidate stored, a rival of the same number is committed, and it leads again. */
+        LEADS_AGAIN
     }
 
     private static final Kind[] LOSSES = {
@@ -77,6 +79,7 @@
             case CLOSING -> generator.drawClosing();
             case BEYOND -> generator.drawBeyond();
             case STORM -> generator.drawStorm();
+            case LEADS_AGAIN -> generator.drawLeadsAgain();
             default -> generator.drawMix();
         }
         return new Schedule(
@@ -396,6 +399,25 @@
         }
     }
 
+    /** Whoever leads is killed until the first leader, which holds a candidate that was given up, may lead again. */
+    private void drawLeadsAgain() {
+        long atMs = Schedule.CATCH_UP_MS + random.nextInt(500);
+        int increment = 1 + random.nextInt(2);
+        long durationMs = 1500 + random.nextInt(2500);
+        Kind pause = random.nextBoolean() ? Kind.FREEZE : Kind.CUT;
+        add(atMs - 200 + random.nextInt(100), Kind.WEFT_CUT, "-", 1500, 0);
+        add(atMs, random.nextBoolean() ? Kind.ORDER : Kind.AMEND, "L", increment, nextOrder++);
+        add(atMs + 15 + random.nextInt(150), pause, "L", durationMs, 0);
+        long rivalAtMs = atMs + 300 + random.nextInt(1200);
+        add(rivalAtMs, random.nextBoolean() ? Kind.ORDER : Kind.AMEND, "?", increment, nextOrder++);
+        long killAtMs = atMs + durationMs + Schedule.CATCH_UP_MS + 200 + random.nextInt(500);
+        for (int i = 0; i < 3; i++) {
+            add(killAtMs, random.nextBoolean() ? Kind.KILL : Kind.POWER, "L", 300 + random.nextInt(300), 0);
+            add(killAtMs + 1500 + random.nextInt(1500), Kind.AMEND, "?", 1 + random.nextInt(2), nextOrder++);
+            killAtMs += 600 + Schedule.CATCH_UP_MS + random.nextInt(500);
+        }
+    }
+
     private void drawMix() {
         long atMs = Schedule.CATCH_UP_MS;
         for (int i = 0; i < 3 + random.nextInt(5); i++) {
--- a/src/test/java/bramblespool/model/ScheduleRunner.java
+++ b/src/test/java/bramblespool/model/ScheduleRunner.java
@@ -205,6 +205,7 @@
         switch (step.kind()) {
             case ORDER ->
                 operators.submitChange(step.argument(), step.durationMs(), controllerFor(step.target()), e -> {});
+            case AMEND -> operators.submitAmendment(step.argument(), step.durationMs(), controllerFor(step.target()));
             case AGAIN -> operators.resubmit(step.argument(), controllerFor(step.target()));
             case READ -> operators.read(controllerFor(step.target()));
             case EVACUATE ->
--- a/src/test/java/bramblespool/model/ScheduleStep.java
+++ b/src/test/java/bramblespool/model/ScheduleStep.java
@@ -12,6 +12,8 @@
     enum Kind {
         /** An order sent first to who; n: its name; ms: by how much its number is above its base. */
         ORDER,
+        /** As an order; the change adds a route to the configuration that it is based on. */
+        AMEND,
         /** Order n once more, whatever became of it. */
         AGAIN,
         READ,
--- a/src/test/java/bramblespool/testing/SimulatedMesh.java
+++ b/src/test/java/bramblespool/testing/SimulatedMesh.java
@@ -278,10 +278,23 @@
                 """.formatted(epoch, base, prefix);
     }
 
+    /** A change that adds a route of this name and prefix to the configuration, and leaves all others as they are. */
+    public static String amendmentDocument(long epoch, long base, String name) {
+        return """
+                {"epoch":%d,"baseVersion":%d,
+                 "upsert":{"routeTable":{"columns":["name","authority","pathPrefix","routeClass","deadline","goal","rank","shares","maxTries","target"],
+                  "rows":[["%s","x.example","/%s/","idempotent","1500ms","600ms",1,null,2,"desk"]]}}}
+                """.formatted(epoch, base, name, name);
+    }
+
     public static OperatorRequest.ConfigurationChange change(long epoch, long base, String prefix) {
         return change(document(epoch, base, prefix));
     }
 
+    public static OperatorRequest.ConfigurationChange amendment(long epoch, long base, String name) {
+        return parse(true, amendmentDocument(epoch, base, name));
+    }
+
     /** A change with so many routes, no two alike, that nothing much is saved by packing them. */
     public OperatorRequest.ConfigurationChange largeChange(long epoch, long base, int routes) {
         StringBuilder rows = new StringBuilder();
@@ -300,8 +313,12 @@
     }
 
     private static OperatorRequest.ConfigurationChange change(String document) {
+        return parse(false, document);
+    }
+
+    private static OperatorRequest.ConfigurationChange parse(boolean isAmendment, String document) {
         try {
-            return OperatorRequest.parseChange(false, document.getBytes(StandardCharsets.UTF_8));
+            return OperatorRequest.parseChange(isAmendment, document.getBytes(StandardCharsets.UTF_8));
         } catch (InvalidConfigurationException e) {
             throw new IllegalStateException(e);
         }
