TWICE: a reservation is used within a fifteenth of its retention, then made anew

Cause: the voters retain a reservation from when they accepted it. A run under an old one is forgotten by them before its window is over, and any other proxy reserves the key anew.

The proxy uses a reservation for retention/15 from when it was asked for (5 s), and makes a new one in its place after that. The voters so hold every run's reservation for keyWindow and 10 s more, whatever the proxy does.

--- a/src/main/java/bramblespool/coordination/tenancy/IdempotencyTable.java
+++ b/src/main/java/bramblespool/coordination/tenancy/IdempotencyTable.java
@@ -53,6 +53,7 @@
         /** The last claim. Each claim is unique, so that one that was given up is never mistaken for a later one. */
         private String claim;
 
+        private long claimedAtMs;
         private boolean isClaimWon;
         private StoredResponse response;
         private int responseBytes;
@@ -83,11 +84,6 @@
             return response;
         }
 
-        /** Whether its claim was won and not given up, so that it may be executed without another one. */
-        public boolean isClaimWon() {
-            return isClaimWon;
-        }
-
         /** Whether this is the same request as the one that came with the key first. */
         public boolean isSameRequest(long otherFingerprint) {
             return fingerprint == otherFingerprint;
@@ -98,6 +94,11 @@
 
     /** Retention as a multiple of the window, which begins when the client sends the request. */
     private static final double RETENTION_FACTOR = 1.25;
+    /**
+     * A claim may be used for the retention divided by this, a third of what that is longer than the window; the rest is
+     * for clocks that differ and for requests that are long under way.
+     */
+    private static final int CLAIM_USE_DIVISOR = 15;
 
     private final Clock clock;
     private final String claimant;
@@ -154,16 +155,25 @@
         operation.state = State.CLAIMING;
         operation.isClaimWon = false;
         operation.claim = claimant + " " + ++claimCount;
+        operation.claimedAtMs = clock.nowMs();
         operation.expiresAtMs = clock.nowMs() + windowMs;
         expiries.add(new Expiry(id, operation.expiresAtMs));
         return operation;
     }
 
+    /**
+     * Whether the operation may be executed under its claim. The voters retain the claim from when it was made, so a
+     * request that is executed under it much later would be forgotten by them before its window is over: that one needs
+     * a claim of its own.
+     */
+    public boolean isClaimUsable(Operation operation) {
+        return operation.isClaimWon && clock.nowMs() - operation.claimedAtMs <= windowMs / CLAIM_USE_DIVISOR;
+    }
+
     /** The claim was won and the request is executed from now on. */
     public void markRunning(Operation operation) {
         operation.state = State.RUNNING;
         operation.isClaimWon = true;
-        operation.expiresAtMs = clock.nowMs() + windowMs;
     }
 
     /** It was rejected before it was forwarded: it may be tried again, here or elsewhere. */
--- a/src/main/java/bramblespool/coordination/tenancy/RequestAdmission.java
+++ b/src/main/java/bramblespool/coordination/tenancy/RequestAdmission.java
@@ -90,7 +90,7 @@
             case ANSWERED -> replayStored(operation.response(), handler);
             case UNKNOWN -> handler.reject(409, 0, "the outcome is unknown");
             default -> {
-                if (operation.isClaimWon()) {
+                if (idempotencyTable.isClaimUsable(operation)) {
                     readmit(request, operation, timeoutMs, handler);
                 } else {
                     claim(request, operation.claim(), false, timeoutMs, handler);
@@ -107,7 +107,7 @@
         }
     }
 
-    /** The claim was won by an earlier attempt that was never executed: only a token is needed. */
+    /** The claim was won a short while ago by an attempt that was never executed: only a token is needed. */
     private void readmit(AdmissionRequest request, Operation operation, long timeoutMs, AdmissionHandler handler) {
         idempotencyTable.markRunning(operation);
         if (request.limit == null) {
--- /dev/null
+++ b/src/test/java/bramblespool/model/KeyedOperationsTest.java
@@ -0,0 +1,33 @@
+package bramblespool.model;
+
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import org.junit.jupiter.api.Test;
+
+/** Orders of events in which a key ran twice, or a repeat was refused, as schedules of the model. */
+class KeyedOperationsTest {
+    private static final int REFUSED = KeyedClients.ServerOutcome.REFUSED.ordinal();
+    private static final int ANSWERED = KeyedClients.ServerOutcome.ANSWERED.ordinal();
+    private static final int KEYS = 30;
+
+    /** The same steps for each of some keys; {@code %k} stands for the key's argument with an outcome. */
+    private static Schedule schedule(String faults, long spreadMs, String... tries) {
+        StringBuilder text = new StringBuilder("7 4 4 1");
+        for (int key = 0; key < KEYS; key++) {
+            for (String step : tries) {
+                String[] fields = step.split(" ");
+                long atMs = Long.parseLong(fields[0]) + spreadMs * key / KEYS;
+                int argument = key * KeyedClients.ServerOutcome.values().length + Integer.parseInt(fields[2]);
+                text.append('\n').append(atMs + " TRY " + fields[1] + " 0 " + argument);
+            }
+        }
+        return Schedule.parse(text + "\n" + faults);
+    }
+
+    /** Guards against a second run 49 s after the first (TWICE): the first run was by a reservation 30 s old. */
+    @Test
+    void reservationIsNotUsedLate() {
+        assertNull(ScheduleRunner.runSchedule(
+                schedule("5000 READ ? 0 0", 1000, "5000 0 " + REFUSED, "35000 0 " + ANSWERED, "84000 1 " + ANSWERED)));
+    }
+}
--- a/src/test/java/bramblespool/model/ScheduleRunner.java
+++ b/src/test/java/bramblespool/model/ScheduleRunner.java
@@ -25,6 +25,7 @@
     final History history = new History();
     final Invariants invariants;
     final OperatorClient operators;
+    private final KeyedClients keyedClients;
     /** All controllers so far, by number; null where one is gone for good. */
     private final List<String> controllers = new ArrayList<>();
 
@@ -46,6 +47,7 @@
                         .filter(controller -> controller != null)
                         .toList(),
                 history);
+        keyedClients = new KeyedClients(mesh, schedule);
         simulator.observer = invariants;
         simulator.accountsForSize = schedule.steps().stream().anyMatch(s -> s.kind() == ScheduleStep.Kind.SLOW_LINK);
         simulator.resendProbability = 0.5;
@@ -206,6 +208,11 @@
             case ORDER ->
                 operators.submitChange(step.argument(), step.durationMs(), controllerFor(step.target()), e -> {});
             case AMEND -> operators.submitAmendment(step.argument(), step.durationMs(), controllerFor(step.target()));
+            case TRY ->
+                keyedClients.attempt(
+                        SimulatedMesh.sidecarPeer(Integer.parseInt(step.target()) % schedule.sidecars()),
+                        step.key(),
+                        step.serverOutcome());
             case AGAIN -> operators.resubmit(step.argument(), controllerFor(step.target()));
             case READ -> operators.read(controllerFor(step.target()));
             case EVACUATE ->
--- a/src/test/java/bramblespool/model/ScheduleStep.java
+++ b/src/test/java/bramblespool/model/ScheduleStep.java
@@ -14,6 +14,11 @@
         ORDER,
         /** As an order; the change adds a route to the configuration that it is based on. */
         AMEND,
+        /**
+         * A request with an idempotency key to sidecar number who; n: its key, and what becomes of it, see {@link
+         * #keyedTry}.
+         */
+        TRY,
         /** Order n once more, whatever became of it. */
         AGAIN,
         READ,
@@ -69,6 +74,20 @@
         }
     }
 
+    /** A request with this key to a sidecar, by its number from 0. */
+    static ScheduleStep keyedTry(long atMs, int sidecar, int key, KeyedClients.ServerOutcome outcome) {
+        int argument = key * KeyedClients.ServerOutcome.values().length + outcome.ordinal();
+        return new ScheduleStep(atMs, Kind.TRY, String.valueOf(sidecar), 0, argument);
+    }
+
+    int key() {
+        return argument / KeyedClients.ServerOutcome.values().length;
+    }
+
+    KeyedClients.ServerOutcome serverOutcome() {
+        return KeyedClients.ServerOutcome.values()[argument % KeyedClients.ServerOutcome.values().length];
+    }
+
     @Override
     public String toString() {
         return atMs + " " + kind + " " + target + " " + durationMs + " " + argument;
