TWICE: under new voters registers are prepared until nothing of the former ones is held

Cause: a proposer that had missed the reservation of the former voters proposed without a prepare phase under the new ones, at itself only. Both values are of round 0, the later epoch ranks higher, and which of the two was chosen a majority's answers do not tell: its own value replaced the chosen one.

It skips the prepare phase under the founders, or once it has known the present voters for a retention time.

--- a/src/main/java/bramblespool/coordination/register/Proposal.java
+++ b/src/main/java/bramblespool/coordination/register/Proposal.java
@@ -23,7 +23,9 @@
  *   <li>it proposes one value only: it writes the value to its own disk before it sends it, so a later incarnation of
  *       the process knows of it;
  *   <li>acceptors take round 0 only into a register of which they know nothing, and only in that epoch, see
- *       {@link RegisterAcceptor}; the quorums of successive epochs share an acceptor, so two epochs cannot both choose.
+ *       {@link RegisterAcceptor};
+ *   <li>no value of round 0 of an earlier epoch is held any more, see {@link EpochAge}: of two such values the one that
+ *       was chosen could not be told from the other.
  * </ul>
  *
  * <p>What an acceptor still holds of a former use of the register may have a higher round; it is known by its time, see
@@ -42,6 +44,7 @@
             AcceptorClient acceptors,
             Clock clock,
             ClusterClock clusterClock,
+            EpochAge epochAge,
             RegisterTimings timings) {}
 
     /** Takes one voter's reply in one phase. */
@@ -96,7 +99,9 @@
     }
 
     private boolean maySkipPrepare() {
-        return context.acceptors().isLocalAcceptorSynced() && voters.isSelfPreferredProposer(registerId);
+        return context.acceptors().isLocalAcceptorSynced()
+                && context.epochAge().outlastsFormerEpochs()
+                && voters.isSelfPreferredProposer(registerId);
     }
 
     // ---- phase 1
--- a/src/main/java/bramblespool/coordination/register/RegisterService.java
+++ b/src/main/java/bramblespool/coordination/register/RegisterService.java
@@ -30,6 +30,7 @@
     private final RegisterAcceptor acceptor;
     private final RegisterSynchronizer synchronizer;
     private final RegisterProposer proposer;
+    private final EpochAge epochAge;
 
     /** Loads the registers from the durable store, which has to be open and unchanged since. */
     public RegisterService(
@@ -53,8 +54,9 @@
                 voters, registers, durableStore, storedRegisters, transport, timings.pageTimeoutMs(), log);
         AcceptorClient acceptors = new AcceptorClient(
                 voters, acceptor, synchronizer, new AcceptorRequestBatcher(voters, transport, clock, timings), clock);
-        proposer =
-                new RegisterProposer(new Proposal.Context(voters, registers, acceptors, clock, clusterClock, timings));
+        epochAge = new EpochAge(voters, clock, timings.retentionMs());
+        proposer = new RegisterProposer(
+                new Proposal.Context(voters, registers, acceptors, clock, clusterClock, epochAge, timings));
     }
 
     /** Begins to remove registers whose retention time is over. */
@@ -84,6 +86,7 @@
      * Reads the registers of the other voters where this one is new. To be called now and then, and when voters change.
      */
     public void sync() {
+        epochAge.update();
         synchronizer.sync();
     }
 
--- a/src/main/java/bramblespool/coordination/register/RegisterVoters.java
+++ b/src/main/java/bramblespool/coordination/register/RegisterVoters.java
@@ -19,6 +19,9 @@
  * "Cluster membership change").
  */
 public final class RegisterVoters {
+    /** The log index of the entry that names the founders. */
+    private static final long FIRST_INDEX = 1;
+
     private final ReplicatedState replicatedState;
     private final String self;
     private final int requiredCopies;
@@ -49,6 +52,11 @@
         return replicatedState.voterSinceIndexes().keySet();
     }
 
+    /** Whether these are the founders, before whom there were no other voters. */
+    boolean areFounders() {
+        return epoch() == FIRST_INDEX;
+    }
+
     VoterSet voterSet() {
         return replicatedState.voterSet();
     }
@@ -64,7 +72,7 @@
 
     /** Whether this controller has been a voter from the group's first entry on: nothing was chosen without it. */
     boolean isSelfFoundingVoter() {
-        return isFounder && isSelfVoter() && selfVoterSince() == 1;
+        return isFounder && isSelfVoter() && selfVoterSince() == FIRST_INDEX;
     }
 
     /** Whether these voters are enough for a value to be chosen. */
--- a/src/test/java/bramblespool/coordination/register/RegisterProposerTest.java
+++ b/src/test/java/bramblespool/coordination/register/RegisterProposerTest.java
@@ -179,4 +179,20 @@
         reply(expectCalls(new Prepare(otherId, number(4, 1))).get(0), new AcceptorReply(true, 4, OTHERS_NUMBER, "b"));
         assertEquals(List.of(RegisterResult.UNKNOWN), results);
     }
+
+    /**
+     * Guards against a key that runs twice (TWICE): a value that was proposed without a prepare phase under former
+     * voters is held for a retention time, and could not be told from another such one.
+     */
+    @Test
+    void preferredProposerPreparesUntilNothingOfFormerVotersIsHeld() {
+        context.setVoters(8, SELF, SECOND, RegisterTestContext.THIRD);
+        String id = context.registerId(true);
+        proposer().compareAndSet(id, "v", null, 1000, results::add);
+        expectCalls(new Prepare(id, number(1, 8)));
+        context.clock.advance(RegisterTestContext.TIMINGS.retentionMs() + 1);
+        context.transport.take();
+        proposer().compareAndSet(id, "w", null, 1000, results::add);
+        expectCalls(new Accept(id, number(0, 8), "w"));
+    }
 }
--- a/src/test/java/bramblespool/model/KeyedOperationsTest.java
+++ b/src/test/java/bramblespool/model/KeyedOperationsTest.java
@@ -48,4 +48,20 @@
                 "87000 2 " + ANSWERED,
                 "89500 3 " + ANSWERED)));
     }
+
+    /**
+     * Guards against a second run (TWICE) after the voters have changed: the new preferred proposer, which had missed the
+     * reservation, reserved the key without a prepare phase at itself only, and took that for the newest.
+     */
+    @Test
+    void reservationUnderFormerVotersIsNotReplacedByAnUnpreparedOne() {
+        assertNull(ScheduleRunner.runSchedule(Schedule.parse("""
+                1913 5 2 1
+                5292 WEFT_KILLED - 1863 1
+                5645 TRY 0 0 7
+                6530 ALL_KILLED 4 1894 0
+                8347 TRY 3 0 37
+                15984 KILL 1 1569 0
+                17348 TRY 0 0 37""")));
+    }
 }
