--- /dev/null
+++ b/src/main/java/bramblespool/coordination/answer/AnswerReplica.java
@@ -0,0 +1,150 @@
+package bramblespool.coordination.answer;
+
+import bramblespool.coordination.time.ClusterClock;
+import bramblespool.state.AnswerStore;
+import bramblespool.state.AnswerStore.Answer;
+import bramblespool.transport.Clock;
+import bramblespool.transport.PeerTransport;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * A controller's part: keeps answers on its disk, and has other controllers keep as many copies as disks may be lost.
+ * What proxies send within a short time goes on as one message and as one write. Confined to the event loop.
+ */
+public final class AnswerReplica {
+    /** The store removes answers by parts of the retention time. */
+    private static final int RETENTION_PARTS = 8;
+
+    /**
+     * How it is to act.
+     *
+     * @param furtherCopies how many other controllers must have an answer, as far as there are that many
+     * @param gatherMs how long answers are gathered for one message, in milliseconds
+     * @param callTimeoutMs how long another controller is waited for, in milliseconds
+     * @param retentionMs how long answers are kept at most, in milliseconds
+     */
+    public record Options(int furtherCopies, long gatherMs, long callTimeoutMs, long retentionMs) {}
+
+    /** What waits to be kept, and who is told. */
+    private static final class Batch {
+        private final List<Answer> answers = new ArrayList<>();
+        private final List<Consumer<Boolean>> callbacks = new ArrayList<>();
+    }
+
+    private final AnswerStore store;
+    private final Clock clock;
+    private final ClusterClock clusterClock;
+    private final PeerTransport transport;
+    private final Supplier<List<String>> otherControllers;
+    private final Options options;
+    /** The batch that is being gathered; null between two. */
+    private Batch openBatch;
+
+    /** @param otherControllers the other controllers' peer addresses, those first that are to keep copies */
+    public AnswerReplica(
+            AnswerStore store,
+            Clock clock,
+            ClusterClock clusterClock,
+            PeerTransport transport,
+            Supplier<List<String>> otherControllers,
+            Options options) {
+        this.store = store;
+        this.clock = clock;
+        this.clusterClock = clusterClock;
+        this.transport = transport;
+        this.otherControllers = otherControllers;
+        this.options = options;
+    }
+
+    /** Begins to remove answers whose time is over. */
+    public void start() {
+        // One part more, as the first one is under way.
+        clock.scheduleRepeatedly(options.retentionMs / RETENTION_PARTS, () -> store.expireAnswers(RETENTION_PARTS + 1));
+    }
+
+    /** Keeps answers; the response comes once all their copies are durable, and none where that fails. */
+    public void handleKeep(JsonNode message, Consumer<ObjectNode> callback) {
+        AnswerCodec.KeepRequest request = AnswerCodec.decodeKeep(message, clusterClock.now());
+        Consumer<Boolean> onKept = isKept -> callback.accept(isKept ? AnswerCodec.encodeKept() : null);
+        if (request.isReplica()) {
+            store.saveAnswers(request.answers(), onKept);
+            return;
+        }
+        if (openBatch == null) {
+            openBatch = new Batch();
+            clock.schedule(options.gatherMs, this::keepBatch);
+        }
+        openBatch.answers.addAll(request.answers());
+        openBatch.callbacks.add(onKept);
+    }
+
+    private void keepBatch() {
+        Batch batch = openBatch;
+        openBatch = null;
+        new Replication(batch).start();
+    }
+
+    /** Answers with what is kept here of a claim. */
+    public void handleFind(JsonNode message, Consumer<ObjectNode> callback) {
+        store.findAnswer(
+                AnswerCodec.decodeRegisterId(message),
+                AnswerCodec.decodeClaim(message),
+                found -> callback.accept(AnswerCodec.encodeFound(found, clusterClock.now())));
+    }
+
+    /** Has one batch kept here and elsewhere; a controller that does not take it is passed over for the next one. */
+    private final class Replication {
+        private final Batch batch;
+        private final List<String> candidates = new ArrayList<>(otherControllers.get());
+        /** Copies that are not yet durable, the own one among them. */
+        private int missingCopies;
+
+        private boolean isFinished;
+
+        Replication(Batch batch) {
+            this.batch = batch;
+        }
+
+        void start() {
+            int furtherCopies = Math.min(options.furtherCopies, candidates.size());
+            missingCopies = furtherCopies + 1;
+            store.saveAnswers(batch.answers, this::onCopy);
+            for (int i = 0; i < furtherCopies; i++) {
+                sendToNext();
+            }
+        }
+
+        private void sendToNext() {
+            if (candidates.isEmpty()) {
+                onCopy(false);
+                return;
+            }
+            AnswerCodec.KeepRequest request = new AnswerCodec.KeepRequest(true, batch.answers);
+            transport.call(
+                    candidates.remove(0),
+                    AnswerCodec.KEEP_KIND,
+                    AnswerCodec.encodeKeep(request, clusterClock.now()),
+                    options.callTimeoutMs,
+                    response -> {
+                        if (response != null) {
+                            onCopy(true);
+                        } else {
+                            sendToNext();
+                        }
+                    });
+        }
+
+        private void onCopy(boolean isKept) {
+            missingCopies--;
+            if (!isFinished && (!isKept || missingCopies == 0)) {
+                isFinished = true;
+                batch.callbacks.forEach(callback -> callback.accept(isKept));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/bramblespool/coordination/answer/AnswerReplicator.java
@@ -0,0 +1,173 @@
+package bramblespool.coordination.answer;
+
+import bramblespool.state.AnswerStore.Answer;
+import bramblespool.transport.Clock;
+import bramblespool.transport.PeerTransport;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * Hands a proxy's answers to controllers, which keep copies. No request waits for it: answers of a short time go in one
+ * message, one message is under way at a time, and what was not taken is sent again, to another controller, until it
+ * expires. Confined to the event loop.
+ */
+public final class AnswerReplicator {
+    /**
+     * The times that it goes by, in milliseconds.
+     *
+     * @param gatherMs how long answers are gathered for one message
+     * @param callTimeoutMs how long a controller is waited for
+     * @param exclusionMs how long one that did not take a message is avoided
+     */
+    public record Timings(long gatherMs, long callTimeoutMs, long exclusionMs) {}
+
+    /** A message is closed once its answers have this size: little enough for a narrow link and a slow disk. */
+    private static final int MAX_MESSAGE_BYTES = 64 << 10;
+
+    private final Clock clock;
+    private final PeerTransport transport;
+    private final Supplier<List<String>> controllers;
+    private final Timings timings;
+    private final long maxBytes;
+    /** What no controller has taken yet, the oldest first. */
+    private final ArrayDeque<ExecutedOperation> pending = new ArrayDeque<>();
+
+    private final Map<String, Long> excludedUntilMs = new HashMap<>();
+    private long pendingBytes;
+    private boolean isScheduled;
+    private boolean isSending;
+    private boolean isHurried;
+    private long droppedCount;
+
+    /**
+     * @param controllers the controllers' peer addresses, the best one first
+     * @param maxBytes limit of what waits; beyond it the oldest are dropped
+     */
+    public AnswerReplicator(
+            Clock clock, PeerTransport transport, Supplier<List<String>> controllers, Timings timings, long maxBytes) {
+        this.clock = clock;
+        this.transport = transport;
+        this.controllers = controllers;
+        this.timings = timings;
+        this.maxBytes = maxBytes;
+    }
+
+    /** Whether every answer has its copies. */
+    public boolean isIdle() {
+        return pending.isEmpty();
+    }
+
+    /** How many answers were dropped before a controller took them. */
+    public long droppedCount() {
+        return droppedCount;
+    }
+
+    /** The process is about to end: from now on nothing is gathered. */
+    public void hurry() {
+        isHurried = true;
+        schedule(0);
+    }
+
+    /** Takes an answer that has just been given. */
+    public void add(ExecutedOperation operation) {
+        pending.add(operation);
+        pendingBytes += operation.response().sizeBytes();
+        while (pendingBytes > maxBytes) {
+            removeOldest();
+            droppedCount++;
+        }
+        schedule(isHurried ? 0 : timings.gatherMs);
+    }
+
+    private void removeOldest() {
+        pendingBytes -= pending.poll().response().sizeBytes();
+    }
+
+    private void schedule(long delayMs) {
+        if (!isSending && !isScheduled && !pending.isEmpty()) {
+            isScheduled = true;
+            clock.schedule(delayMs, () -> {
+                isScheduled = false;
+                send();
+            });
+        }
+    }
+
+    private void send() {
+        dropExpired();
+        String controller = nextController();
+        if (isSending || pending.isEmpty()) {
+            return;
+        }
+        if (controller == null) {
+            schedule(timings.callTimeoutMs);
+            return;
+        }
+        List<ExecutedOperation> batch = nextBatch();
+        List<Answer> answers = new ArrayList<>(batch.size());
+        for (ExecutedOperation operation : batch) {
+            answers.add(new Answer(
+                    operation.registerId(),
+                    operation.claim(),
+                    operation.fingerprint(),
+                    operation.expiresAtMs(),
+                    AnswerCodec.encodeResponse(operation.response())));
+        }
+        isSending = true;
+        transport.call(
+                controller,
+                AnswerCodec.KEEP_KIND,
+                AnswerCodec.encodeKeep(new AnswerCodec.KeepRequest(false, answers), clock.nowMs()),
+                timings.callTimeoutMs,
+                response -> onResponse(controller, batch, response != null));
+    }
+
+    private void onResponse(String controller, List<ExecutedOperation> batch, boolean isKept) {
+        isSending = false;
+        if (isKept) {
+            for (ExecutedOperation operation : batch) {
+                // What was dropped meanwhile is not there any more.
+                if (operation.equals(pending.peek())) {
+                    removeOldest();
+                }
+            }
+        } else {
+            excludedUntilMs.put(controller, clock.nowMs() + timings.exclusionMs);
+        }
+        schedule(isHurried || !isKept ? 0 : timings.gatherMs);
+    }
+
+    private void dropExpired() {
+        while (!pending.isEmpty() && pending.peek().expiresAtMs() <= clock.nowMs()) {
+            removeOldest();
+            droppedCount++;
+        }
+    }
+
+    private List<ExecutedOperation> nextBatch() {
+        List<ExecutedOperation> batch = new ArrayList<>();
+        long bytes = 0;
+        for (ExecutedOperation operation : pending) {
+            if (bytes >= MAX_MESSAGE_BYTES) {
+                break;
+            }
+            batch.add(operation);
+            bytes += operation.response().sizeBytes();
+        }
+        return batch;
+    }
+
+    /** The best controller that has not failed of late; null where there is none. */
+    private String nextController() {
+        for (String controller : controllers.get()) {
+            if (excludedUntilMs.getOrDefault(controller, 0L) <= clock.nowMs()) {
+                return controller;
+            }
+        }
+        return null;
+    }
+}
--- a/src/main/java/bramblespool/coordination/controller/ControllerNode.java
+++ b/src/main/java/bramblespool/coordination/controller/ControllerNode.java
@@ -1,5 +1,7 @@
 package bramblespool.coordination.controller;
 
+import bramblespool.coordination.answer.AnswerCodec;
+import bramblespool.coordination.answer.AnswerReplica;
 import bramblespool.coordination.configuration.PhaseCodec;
 import bramblespool.coordination.configuration.PhaseDispatcher;
 import bramblespool.coordination.configuration.PhaseRelay;
@@ -11,11 +13,13 @@
 import bramblespool.coordination.register.RegisterProposer;
 import bramblespool.coordination.register.RegisterService;
 import bramblespool.coordination.singleton.FencingTokenCodec;
+import bramblespool.coordination.tenancy.IdempotencyTable;
 import bramblespool.coordination.tenancy.TenantRateLimiter;
 import bramblespool.coordination.time.TimeCodec;
 import bramblespool.coordination.traffic.OverloadDetector;
 import bramblespool.protocol.OperatorRequest;
 import bramblespool.raft.RaftNode;
+import bramblespool.state.AnswerStore;
 import bramblespool.state.DurableStore;
 import bramblespool.state.EventLog;
 import bramblespool.state.ReplicatedState;
@@ -42,6 +46,8 @@
     private static final int JOIN_DIVISOR = 12;
     /** Rounds of singleton roles within one renewal of a session. */
     private static final int ROLE_CHECKS_PER_RENEWAL = 4;
+    /** Ratio to the time-out of a call of the time for which answers are gathered. */
+    private static final int ANSWER_GATHER_DIVISOR = 5;
     /** Ratio to {@code quiet} of the lateness of timers from which a controller counts as overloaded. */
     private static final int LATENESS_DIVISOR = 40;
 
@@ -54,16 +60,19 @@
     private final ReplicatedStatePublisher publisher;
     private final OperatorRequestHandler operatorRequests;
     private final SingletonRoleScheduler roleScheduler;
+    private final AnswerReplica answerReplica;
     private final OverloadDetector overloadDetector;
     private final PeerMessageDispatcher dispatcher;
 
     /**
+     * @param answerStore on the same disk
      * @param newIncarnation this member's incarnation, if its store is empty and it joins a group
      * @param platform the platform's client, or null where servers report themselves and nobody wants usage reports
      */
     public ControllerNode(
             Settings settings,
             DurableStore durableStore,
+            AnswerStore answerStore,
             String newIncarnation,
             Clock clock,
             PeerTransport transport,
@@ -91,6 +100,7 @@
         this.sessions = new SessionRegistry(context, gossip, leaderContact);
         gossip.addListener(sessions::onGossipEntry);
 
+        this.answerReplica = newAnswerReplica(context, answerStore);
         PhaseRelay phaseRelay =
                 new PhaseRelay(transport, new TermGuard(log), raft::leaderTerm, sessions::peerAddressOf);
         this.commitCoordinator = newCommitCoordinator(context, phaseRelay);
@@ -124,6 +134,21 @@
                 context.log());
     }
 
+    private AnswerReplica newAnswerReplica(ControllerContext context, AnswerStore answerStore) {
+        Settings settings = local.settings();
+        return new AnswerReplica(
+                answerStore,
+                clock,
+                member.clusterClock(),
+                context.transport(),
+                zoneGossip::otherControllersByPreference,
+                new AnswerReplica.Options(
+                        settings.tolerableMachineLosses(),
+                        context.callTimeoutMs() / ANSWER_GATHER_DIVISOR,
+                        context.callTimeoutMs(),
+                        IdempotencyTable.retentionMs(settings.bounds().idempotencyKeyWindowMs())));
+    }
+
     // The parts that are built first reach those that are built later through these methods.
 
     private List<String> openSessionAddresses() {
@@ -162,6 +187,8 @@
                 PeerMessageKinds.TOKEN,
                 AdmissionCodec.TOKEN_CODEC,
                 (request, responder) -> responder.respond(admission.takeToken(request)));
+        dispatcher.register(AnswerCodec.KEEP_KIND, answerReplica::handleKeep);
+        dispatcher.register(AnswerCodec.FIND_KIND, answerReplica::handleFind);
         dispatcher.register(
                 PeerMessageKinds.DOCUMENT,
                 DocumentCodec.INSTANCE,
@@ -203,6 +230,7 @@
         member.clockSynchronizer().synchronize();
         member.registers().start();
         member.shardLeases().start();
+        answerReplica.start();
         roleScheduler.start();
         clock.execute(this::join);
         clock.scheduleRepeatedly(renewalMs, () -> {
--- a/src/main/java/bramblespool/coordination/controller/GossipPayloadCodec.java
+++ b/src/main/java/bramblespool/coordination/controller/GossipPayloadCodec.java
@@ -48,6 +48,16 @@
                 .put(IS_VOTER, isVoter);
     }
 
+    /** The peer address in a controller's or a proxy's own entry. */
+    static String decodePeerAddress(JsonNode body) {
+        return body.path(PEER_ADDRESS).asText();
+    }
+
+    /** The zone in a controller's or a proxy's own entry. */
+    static String decodeZone(JsonNode body) {
+        return body.path(ZONE).asText();
+    }
+
     static ObjectNode encodeSession(SessionRecord session) {
         return JsonNodeFactory.instance
                 .objectNode()
--- a/src/main/java/bramblespool/coordination/controller/ZoneGossip.java
+++ b/src/main/java/bramblespool/coordination/controller/ZoneGossip.java
@@ -3,11 +3,15 @@
 import bramblespool.coordination.gossip.GossipKeys;
 import bramblespool.coordination.gossip.GossipPeers;
 import bramblespool.coordination.gossip.GossipStore;
+import bramblespool.coordination.hashing.RendezvousHash;
 import bramblespool.coordination.membership.EndpointDirectory;
 import bramblespool.coordination.traffic.OverloadDetector;
 import bramblespool.transport.Clock;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -80,6 +84,21 @@
         return leaderContact.isRecent();
     }
 
+    /** The other controllers' peer addresses, those of other zones first, and among them in an order of this one's own. */
+    List<String> otherControllersByPreference() {
+        Set<String> sameZone = new HashSet<>();
+        for (GossipStore.GossipEntry entry : store.entriesWithPrefix(GossipKeys.CONTROLLER_KEY_PREFIX)) {
+            if (GossipPayloadCodec.decodeZone(entry.body())
+                    .equals(local.settings().zone())) {
+                sameZone.add(GossipPayloadCodec.decodePeerAddress(entry.body()));
+            }
+        }
+        List<String> ordered = new ArrayList<>(otherControllers());
+        ordered.sort(Comparator.comparing((String address) -> sameZone.contains(address))
+                .thenComparingLong(address -> -RendezvousHash.weight(local.peerAddress(), address)));
+        return ordered;
+    }
+
     /** The peer addresses of the other controllers, as far as gossip and the settings name them. */
     Set<String> otherControllers() {
         Set<String> controllers = EndpointDirectory.controllerAddresses(store, local.settings());
--- a/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
+++ b/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
@@ -1,5 +1,8 @@
 package bramblespool.coordination.dataplane;
 
+import bramblespool.coordination.answer.AnswerCodec;
+import bramblespool.coordination.answer.AnswerLookup;
+import bramblespool.coordination.answer.AnswerReplicator;
 import bramblespool.coordination.configuration.ConfigurationFreshness;
 import bramblespool.coordination.configuration.PhaseCodec;
 import bramblespool.coordination.configuration.PhaseHandler;
@@ -10,12 +13,14 @@
 import bramblespool.coordination.gossip.GossipKeys;
 import bramblespool.coordination.gossip.GossipPeers;
 import bramblespool.coordination.gossip.GossipStore;
+import bramblespool.coordination.hashing.RendezvousHash;
 import bramblespool.coordination.membership.ControllerSession;
 import bramblespool.coordination.membership.EndpointDirectory;
 import bramblespool.coordination.singleton.UsageCounter;
 import bramblespool.coordination.singleton.UsageWindows;
 import bramblespool.coordination.tenancy.AdmissionClient;
 import bramblespool.coordination.tenancy.IdempotencyTable;
+import bramblespool.coordination.tenancy.RequestAdmission;
 import bramblespool.coordination.time.ClusterClock;
 import bramblespool.coordination.traffic.AdmissionSettings;
 import bramblespool.coordination.traffic.RetryBudget;
@@ -34,6 +39,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -60,6 +66,10 @@
     /** Fraction of the shutdown time in which the proxy still admits requests to its servers. */
     private static final double SHUTDOWN_SERVING_SHARE = 0.6;
 
+    /** Answers are gathered for {@code quiet} divided by this before they are handed to a controller. */
+    private static final int ANSWER_GATHER_DIVISOR = 10;
+    /** A controller, which waits for another one itself, is waited for for {@code quiet} divided by this. */
+    private static final int ANSWER_TIMEOUT_DIVISOR = 3;
     /** Stored responses of idempotency keys take at most the machine's memory divided by this. */
     private static final int RESPONSE_CACHE_DIVISOR = 24;
 
@@ -85,6 +95,10 @@
     public final AdmissionClient admissionClient;
     /** The operations whose idempotency keys this proxy has claimed. */
     public final IdempotencyTable idempotencyTable;
+    /** Hands the answers of those operations to controllers. */
+    private final AnswerReplicator answerReplicator;
+    /** Admits requests by their tenants' limits and their keys. */
+    public final RequestAdmission requestAdmission;
     /** Requests executed at this proxy's servers, by tenant; null without usage reporting. */
     public final UsageCounter usageCounter;
     /** This proxy and the run of its process, as its claims name it. */
@@ -172,11 +186,28 @@
                 claimOwner,
                 IdempotencyTable.retentionMs(bounds.idempotencyKeyWindowMs()),
                 responseCacheBytes(settings));
+        this.answerReplicator = new AnswerReplicator(
+                clock,
+                transport,
+                this::answerControllers,
+                new AnswerReplicator.Timings(
+                        bounds.quietPeriodMs() / ANSWER_GATHER_DIVISOR,
+                        bounds.quietPeriodMs() / ANSWER_TIMEOUT_DIVISOR,
+                        callTimeoutMs),
+                responseCacheBytes(settings));
+        idempotencyTable.onExecuted(answerReplicator::add);
         this.admissionClient = new AdmissionClient(
                 clock,
                 transport,
                 () -> EndpointDirectory.voterAddresses(gossip, this.settings),
                 bounds.quietPeriodMs());
+        this.requestAdmission = new RequestAdmission(
+                admissionClient,
+                idempotencyTable,
+                this::queryOperation,
+                new AnswerLookup(transport, this::answerControllers),
+                clock,
+                log);
         gossip.registerOwnKey(GossipKeys.PROXY_KEY_PREFIX + settings.node(), this::publishOwnEntry);
         gossip.addListener(this::onGossipUpdate);
         shadowCommit.onChange(this::onConfigurationChange);
@@ -520,14 +551,12 @@
             return response.put("state", IdempotencyTable.State.GIVEN.name());
         }
         if (!operation.isSameRequest(request.path("print").asLong())) {
-            return response.put("state", "DIFFERS");
+            return response.put("state", RequestAdmission.DIFFERENT_REQUEST);
         }
         response.put("state", operation.state().name());
         if (operation.response() != null) {
-            response.put("code", operation.response().statusCode())
-                    .put("body", operation.response().body());
-            var headers = response.putArray("headers");
-            operation.response().headers().forEach(headers::add);
+            AnswerCodec.writeResponse(response, operation.response());
+            AnswerCodec.writeRemaining(response, idempotencyTable.remainingMs(operation));
         }
         return response;
     }
@@ -536,7 +565,7 @@
      * Asks the proxy named by a claim for the outcome of the operation. The callback gets null where it did not answer,
      * or where the claim is of an earlier run of this process.
      */
-    public void queryOperation(
+    private void queryOperation(
             String register, String claim, long fingerprint, long timeoutMs, Consumer<JsonNode> callback) {
         String address = claim.substring(0, Math.max(0, claim.indexOf(' ')));
         if (address.isEmpty() || address.equals(settings.peerAddress())) {
@@ -602,6 +631,7 @@
      */
     public void shutDownGracefully(long timeoutMs) {
         isShuttingDown = true;
+        answerReplicator.hurry();
         clock.schedule((long) (timeoutMs * SHUTDOWN_SERVING_SHARE), this::leave);
     }
 
@@ -610,6 +640,24 @@
         return hasLeft;
     }
 
+    /** Whether answers wait that no controller has a copy of yet. */
+    public boolean hasUncopiedAnswers() {
+        return !answerReplicator.isIdle();
+    }
+
+    /** The controllers that keep copies of answers: the session's first, which is mostly in the own zone. */
+    private List<String> answerControllers() {
+        Set<String> ordered = new LinkedHashSet<>();
+        if (hasSession()) {
+            ordered.add(controller());
+        }
+        List<String> others = new ArrayList<>(EndpointDirectory.controllerAddresses(gossip, settings));
+        others.sort(
+                Comparator.comparingLong((String address) -> -RendezvousHash.weight(settings.peerAddress(), address)));
+        ordered.addAll(others);
+        return List.copyOf(ordered);
+    }
+
     /** Announces that this proxy leaves, and ends the session. */
     public void leave() {
         hasLeft = true;
--- a/src/main/java/bramblespool/coordination/register/RegisterTimings.java
+++ b/src/main/java/bramblespool/coordination/register/RegisterTimings.java
@@ -26,6 +26,11 @@
      * time by what clocks may differ and a proposal may take.
      */
     long formerUseMs() {
+        return formerUseMs(retentionMs);
+    }
+
+    /** Same as {@link #formerUseMs()}, for a retention time. */
+    public static long formerUseMs(long retentionMs) {
         return retentionMs * FORMER_USE_NUMERATOR / FORMER_USE_DENOMINATOR;
     }
 
--- a/src/main/java/bramblespool/coordination/tenancy/IdempotencyTable.java
+++ b/src/main/java/bramblespool/coordination/tenancy/IdempotencyTable.java
@@ -1,11 +1,16 @@
 package bramblespool.coordination.tenancy;
 
+import bramblespool.coordination.answer.ExecutedOperation;
+import bramblespool.coordination.answer.StoredResponse;
+import bramblespool.coordination.register.RegisterTimings;
 import bramblespool.transport.Clock;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * The operations whose idempotency keys this proxy has claimed. A key's register names a proxy and the run of its
@@ -21,7 +26,7 @@
         IDLE,
         /** Being executed. */
         RUNNING,
-        /** Answered; the response is stored here, or was dropped to save memory. */
+        /** Answered; the response is stored here, or was dropped to save memory and is left with the controllers. */
         ANSWERED,
         /** Forwarded, and its outcome is unknown: it is not executed again. */
         UNKNOWN,
@@ -29,22 +34,6 @@
         GIVEN
     }
 
-    /**
-     * The first response, as every repeated request gets it.
-     *
-     * @param headers names and values in turn
-     */
-    public record StoredResponse(int statusCode, List<String> headers, byte[] body) {
-        /** Approximate size in memory. */
-        int sizeBytes() {
-            int total = body.length;
-            for (String header : headers) {
-                total += header.length();
-            }
-            return total;
-        }
-    }
-
     /** An operation; changed by this table only. */
     public static final class Operation {
         private final String id;
@@ -54,6 +43,9 @@
         private String claim;
 
         private long claimedAtMs;
+        /** Who waits for the claim that is being made. */
+        private final List<Runnable> claimListeners = new ArrayList<>();
+
         private boolean isClaimWon;
         private StoredResponse response;
         private int responseBytes;
@@ -102,28 +94,33 @@
 
     private final Clock clock;
     private final String claimant;
-    private final long windowMs;
+    private final long retentionMs;
+    /** For how long a claim counts: after that its register may be given to another one. */
+    private final long validityMs;
+
     private final long maxBytes;
     private final Map<String, Operation> operations = new HashMap<>();
     private final ArrayDeque<Expiry> expiries = new ArrayDeque<>();
     private final ArrayDeque<Operation> answeredOperations = new ArrayDeque<>();
     private long storedBytes;
     private long claimCount;
+    private Consumer<ExecutedOperation> executionListener = operation -> {};
 
     /**
      * @param claimant this proxy and the run of its process
-     * @param windowMs how long an operation is retained
+     * @param retentionMs how long the voters hold a claim, see {@link #retentionMs(long)}
      * @param maxBytes limit of the stored responses; beyond it the oldest are dropped, but not their operations
      */
-    public IdempotencyTable(Clock clock, String claimant, long windowMs, long maxBytes) {
+    public IdempotencyTable(Clock clock, String claimant, long retentionMs, long maxBytes) {
         this.claimant = claimant;
         this.clock = clock;
-        this.windowMs = windowMs;
+        this.retentionMs = retentionMs;
+        this.validityMs = RegisterTimings.formerUseMs(retentionMs);
         this.maxBytes = maxBytes;
     }
 
     /**
-     * The retention of an operation, here and in its register, for a window within which it must not be executed twice.
+     * The retention of a claim in its register, for a window within which an operation must not be executed twice.
      */
     public static long retentionMs(long windowMs) {
         return (long) (windowMs * RETENTION_FACTOR);
@@ -142,7 +139,13 @@
     /** The operation of a register, or null. */
     public Operation get(String id) {
         expire();
-        return operations.get(id);
+        Operation operation = operations.get(id);
+        if (operation != null && operation.state == State.ANSWERED && remainingMs(operation) <= 0) {
+            operations.remove(id);
+            releaseResponse(operation);
+            return null;
+        }
+        return operation;
     }
 
     /** Starts a claim for a key that is unknown here, or whose last claim was not won or was given up. */
@@ -152,11 +155,12 @@
             operation = new Operation(id, fingerprint);
             operations.put(id, operation);
         }
+        releaseResponse(operation);
         operation.state = State.CLAIMING;
         operation.isClaimWon = false;
         operation.claim = claimant + " " + ++claimCount;
         operation.claimedAtMs = clock.nowMs();
-        operation.expiresAtMs = clock.nowMs() + windowMs;
+        operation.expiresAtMs = clock.nowMs() + validityMs;
         expiries.add(new Expiry(id, operation.expiresAtMs));
         return operation;
     }
@@ -167,31 +171,79 @@
      * a claim of its own.
      */
     public boolean isClaimUsable(Operation operation) {
-        return operation.isClaimWon && clock.nowMs() - operation.claimedAtMs <= windowMs / CLAIM_USE_DIVISOR;
+        return operation.isClaimWon && clock.nowMs() - operation.claimedAtMs <= retentionMs / CLAIM_USE_DIVISOR;
+    }
+
+    /**
+     * Whether a claim is one of this process that will never be used, or not any more: a later one has taken its place,
+     * or its time is over.
+     */
+    boolean isOwnFormerClaim(Operation operation, String claim) {
+        return claim.startsWith(claimant + " ") && !claim.equals(operation.claim);
+    }
+
+    /** Runs the task once the claim that is being made is decided. */
+    void whenClaimDecided(Operation operation, Runnable task) {
+        operation.claimListeners.add(task);
+    }
+
+    /** Whoever waits is told at the event loop's next turn: the operation may have gone on until then. */
+    private void changeState(Operation operation, State newState) {
+        operation.state = newState;
+        List<Runnable> listeners = List.copyOf(operation.claimListeners);
+        operation.claimListeners.clear();
+        listeners.forEach(clock::execute);
     }
 
     /** The claim was won and the request is executed from now on. */
     public void markRunning(Operation operation) {
-        operation.state = State.RUNNING;
+        changeState(operation, State.RUNNING);
         operation.isClaimWon = true;
     }
 
     /** It was rejected before it was forwarded: it may be tried again, here or elsewhere. */
     public void markIdle(Operation operation) {
-        operation.state = State.IDLE;
+        changeState(operation, State.IDLE);
     }
 
     /** It may have been executed, and no response arrived. */
     public void markUnknown(Operation operation) {
-        operation.state = State.UNKNOWN;
+        changeState(operation, State.UNKNOWN);
+    }
+
+    /** Sets who is told of each operation that this proxy has executed and whose response is stored. */
+    public void onExecuted(Consumer<ExecutedOperation> listener) {
+        executionListener = listener;
     }
 
-    /** It was answered; {@code response} is null where it was too large to be stored. */
+    /** It was executed from here and answered; {@code response} is null where it was too large to be stored. */
     public void recordResponse(Operation operation, StoredResponse response) {
-        operation.state = State.ANSWERED;
+        changeState(operation, State.ANSWERED);
         if (response == null) {
             return;
         }
+        store(operation, response);
+        executionListener.accept(new ExecutedOperation(
+                operation.id, operation.claim, operation.fingerprint, response, operation.expiresAtMs));
+    }
+
+    /**
+     * It was executed elsewhere, with this response.
+     *
+     * @param remainingMs for how long its claim is still retained: a repeat after that may be executed again
+     */
+    public void recordCopy(Operation operation, StoredResponse response, long remainingMs) {
+        changeState(operation, State.ANSWERED);
+        operation.expiresAtMs = Math.min(operation.expiresAtMs, clock.nowMs() + remainingMs);
+        store(operation, response);
+    }
+
+    /** For how long an operation's claim is retained from now on. */
+    public long remainingMs(Operation operation) {
+        return operation.expiresAtMs - clock.nowMs();
+    }
+
+    private void store(Operation operation, StoredResponse response) {
         operation.response = response;
         operation.responseBytes = response.sizeBytes();
         storedBytes += operation.responseBytes;
@@ -215,7 +267,7 @@
         expire();
         Operation operation = operations.get(id);
         if (operation == null || !claim.equals(operation.claim) || operation.state == State.GIVEN) {
-            // Removed only after its window, and replaced only where it was never used.
+            // Removed only once its time is over, and replaced only where it was never used.
             return null;
         }
         if (operation.state == State.IDLE) {
@@ -234,17 +286,21 @@
             boolean isOpen =
                     operation != null && (operation.state == State.RUNNING || operation.state == State.CLAIMING);
             if (operation != null && (isOpen || operation.expiresAtMs > nowMs)) {
-                expiries.add(new Expiry(expiry.id, isOpen ? nowMs + windowMs : operation.expiresAtMs));
+                expiries.add(new Expiry(expiry.id, isOpen ? nowMs + validityMs : operation.expiresAtMs));
             } else if (operation != null) {
                 operations.remove(expiry.id);
-                if (operation.response != null) {
-                    dropResponse(operation);
-                    removeAnswered(operation);
-                }
+                releaseResponse(operation);
             }
         }
     }
 
+    private void releaseResponse(Operation operation) {
+        if (operation.response != null) {
+            dropResponse(operation);
+            removeAnswered(operation);
+        }
+    }
+
     /** Responses expire nearly in the order in which they arrived, so the search ends soon. */
     private void removeAnswered(Operation operation) {
         for (Iterator<Operation> iterator = answeredOperations.iterator(); iterator.hasNext(); ) {
--- a/src/main/java/bramblespool/coordination/tenancy/RequestAdmission.java
+++ b/src/main/java/bramblespool/coordination/tenancy/RequestAdmission.java
@@ -1,14 +1,16 @@
 package bramblespool.coordination.tenancy;
 
+import bramblespool.coordination.answer.AnswerCodec;
+import bramblespool.coordination.answer.AnswerLookup;
+import bramblespool.coordination.answer.StoredResponse;
 import bramblespool.coordination.tenancy.IdempotencyTable.Operation;
 import bramblespool.coordination.tenancy.IdempotencyTable.State;
 import bramblespool.state.EventLog;
 import bramblespool.state.EventLog.Event;
 import bramblespool.state.Tenant;
+import bramblespool.transport.Clock;
 import com.fasterxml.jackson.databind.JsonNode;
-import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -40,7 +42,7 @@
         void reject(int status, long retryMs, String reason);
 
         /** The request was executed before, with this response. */
-        void replay(IdempotencyTable.StoredResponse response);
+        void replay(StoredResponse response);
     }
 
     /** Asks the proxy that a claim names for the outcome of the claimed operation. */
@@ -50,23 +52,35 @@
                 String registerId, String claim, long fingerprint, long timeoutMs, Consumer<JsonNode> callback);
     }
 
+    /** In place of a {@link State}: another request than the one that was executed bears the key. */
+    public static final String DIFFERENT_REQUEST = "DIFFERS";
+
     /** When a repeated request may be sent again while the operation is being executed. */
     private static final long IN_PROGRESS_RETRY_MS = 100;
 
     private final AdmissionClient admissionClient;
     private final IdempotencyTable idempotencyTable;
     private final OutcomeQuery outcomeQuery;
+    private final AnswerLookup answerLookup;
+    private final Clock clock;
     private final EventLog log;
 
-    /** {@code outcomeQuery}: asks other proxies about their claims. */
+    /**
+     * @param outcomeQuery asks other proxies about their claims
+     * @param answerLookup finds copies of answers
+     */
     public RequestAdmission(
             AdmissionClient admissionClient,
             IdempotencyTable idempotencyTable,
             OutcomeQuery outcomeQuery,
+            AnswerLookup answerLookup,
+            Clock clock,
             EventLog log) {
         this.admissionClient = admissionClient;
         this.idempotencyTable = idempotencyTable;
         this.outcomeQuery = outcomeQuery;
+        this.answerLookup = answerLookup;
+        this.clock = clock;
         this.log = log;
     }
 
@@ -86,8 +100,9 @@
             return;
         }
         switch (operation.state()) {
-            case CLAIMING, RUNNING -> handler.reject(409, IN_PROGRESS_RETRY_MS, "in progress");
-            case ANSWERED -> replayStored(operation.response(), handler);
+            case CLAIMING -> awaitClaim(request, operation, timeoutMs, handler);
+            case RUNNING -> handler.reject(409, IN_PROGRESS_RETRY_MS, "in progress");
+            case ANSWERED -> replayStored(request, operation, timeoutMs, handler);
             case UNKNOWN -> handler.reject(409, 0, "the outcome is unknown");
             default -> {
                 if (idempotencyTable.isClaimUsable(operation)) {
@@ -99,11 +114,24 @@
         }
     }
 
-    private void replayStored(IdempotencyTable.StoredResponse response, AdmissionHandler handler) {
-        if (response == null) {
-            handler.reject(409, 0, "executed before, and the response is no longer stored");
+    /** Another request of the key is being admitted: what comes of that decides on this one. */
+    private void awaitClaim(AdmissionRequest request, Operation operation, long timeoutMs, AdmissionHandler handler) {
+        long startedMs = clock.nowMs();
+        idempotencyTable.whenClaimDecided(operation, () -> {
+            long remainingMs = timeoutMs - (clock.nowMs() - startedMs);
+            if (remainingMs > 0) {
+                admit(request, remainingMs, handler);
+            } else {
+                handler.reject(409, IN_PROGRESS_RETRY_MS, "in progress");
+            }
+        });
+    }
+
+    private void replayStored(AdmissionRequest request, Operation operation, long timeoutMs, AdmissionHandler handler) {
+        if (operation.response() == null) {
+            findCopy(request, operation, operation.claim(), "dropped", timeoutMs, handler);
         } else {
-            handler.replay(response);
+            handler.replay(operation.response());
         }
     }
 
@@ -177,6 +205,11 @@
             boolean isSecondAttempt,
             long timeoutMs,
             AdmissionHandler handler) {
+        if (!isSecondAttempt && idempotencyTable.isOwnFormerClaim(operation, existingClaim)) {
+            idempotencyTable.markIdle(operation);
+            claim(request, existingClaim, true, timeoutMs, handler);
+            return;
+        }
         outcomeQuery.queryOperation(request.registerId, existingClaim, request.fingerprint, timeoutMs, outcome -> {
             String state = outcome == null ? "" : outcome.path("state").asText();
             if (state.equals(State.GIVEN.name()) && !isSecondAttempt) {
@@ -185,32 +218,51 @@
                 return;
             }
             idempotencyTable.markIdle(operation);
-            if (state.equals(State.ANSWERED.name()) && outcome.has("code")) {
-                IdempotencyTable.StoredResponse response = decodeResponse(outcome);
-                idempotencyTable.recordResponse(operation, response);
-                handler.replay(response);
-            } else if (state.equals("DIFFERS")) {
+            Optional<StoredResponse> response = outcome == null ? Optional.empty() : AnswerCodec.readResponse(outcome);
+            if (state.equals(State.ANSWERED.name()) && response.isPresent()) {
+                replayCopy(operation, response.get(), AnswerCodec.readRemaining(outcome), handler);
+            } else if (state.equals(DIFFERENT_REQUEST)) {
                 handler.reject(422, 0, "the key belongs to another request");
+            } else if (state.equals(State.RUNNING.name()) || state.equals(State.CLAIMING.name())) {
+                rejectInUse(existingClaim, state, IN_PROGRESS_RETRY_MS, handler);
             } else {
-                log.log(
-                        Event.IDEMPOTENCY_KEY_IN_USE,
-                        "owner",
-                        existingClaim,
-                        "state",
-                        state.isEmpty() ? "silent" : state);
-                handler.reject(409, state.equals(State.RUNNING.name()) ? IN_PROGRESS_RETRY_MS : 0, "claimed elsewhere");
+                String cause = state.isEmpty() ? "silent" : state;
+                findCopy(request, operation, existingClaim, cause, timeoutMs, handler);
             }
         });
     }
 
-    private static IdempotencyTable.StoredResponse decodeResponse(JsonNode outcome) {
-        List<String> headers = new ArrayList<>();
-        outcome.path("headers").forEach(header -> headers.add(header.asText()));
-        try {
-            return new IdempotencyTable.StoredResponse(
-                    outcome.path("code").asInt(), headers, outcome.path("body").binaryValue());
-        } catch (IOException e) {
-            return new IdempotencyTable.StoredResponse(outcome.path("code").asInt(), headers, new byte[0]);
-        }
+    private void replayCopy(Operation operation, StoredResponse response, long remainingMs, AdmissionHandler handler) {
+        idempotencyTable.recordCopy(operation, response, remainingMs);
+        handler.replay(response);
+    }
+
+    /**
+     * Who executed the operation does not know its response, or can't be asked: the controllers may have a copy. Where
+     * they have none it may have been executed or not, and it is not executed again.
+     *
+     * @param claim the claim under which it was executed
+     */
+    private void findCopy(
+            AdmissionRequest request,
+            Operation operation,
+            String claim,
+            String cause,
+            long timeoutMs,
+            AdmissionHandler handler) {
+        answerLookup.find(request.registerId, claim, timeoutMs, found -> {
+            if (found.isEmpty()) {
+                rejectInUse(claim, cause, 0, handler);
+            } else if (found.get().fingerprint() != request.fingerprint) {
+                handler.reject(422, 0, "the key belongs to another request");
+            } else {
+                replayCopy(operation, found.get().response(), found.get().remainingMs(), handler);
+            }
+        });
+    }
+
+    private void rejectInUse(String claim, String state, long retryMs, AdmissionHandler handler) {
+        log.log(Event.IDEMPOTENCY_KEY_IN_USE, "owner", claim, "state", state);
+        handler.reject(409, retryMs, "claimed elsewhere");
     }
 }
--- a/src/main/java/bramblespool/process/ControllerProcess.java
+++ b/src/main/java/bramblespool/process/ControllerProcess.java
@@ -5,6 +5,7 @@
 import bramblespool.state.EventLog.Event;
 import bramblespool.state.Metrics;
 import bramblespool.state.Settings;
+import bramblespool.state.SqliteAnswerStore;
 import bramblespool.state.SqliteDurableStore;
 import bramblespool.transport.EventLoop;
 import bramblespool.transport.HttpPeerTransport;
@@ -24,6 +25,7 @@
     private final Listeners listeners;
     private final Metrics metrics;
     private final SqliteDurableStore durableStore;
+    private final SqliteAnswerStore answerStore;
     private final OperatorEndpoint operatorEndpoint;
 
     /**
@@ -40,6 +42,7 @@
                 new HttpPeerTransport(eventLoop, upstream, listeners.bufferPool(), IDLE_TIMEOUT_MS / 2, log);
         durableStore = new SqliteDurableStore(
                 settings.dataDirectory(), eventLoop::post, eventLoop::nowMs, log, ControllerProcess::exitAfterDamage);
+        answerStore = new SqliteAnswerStore(settings.dataDirectory(), eventLoop::post, log);
         HttpPlatformClient platformClient =
                 settings.discovery() == Settings.Discovery.PLATFORM || settings.usageReporting() != null
                         ? new HttpPlatformClient(
@@ -51,6 +54,7 @@
         controllerNode = new ControllerNode(
                 settings,
                 durableStore,
+                answerStore,
                 Long.toHexString(new SecureRandom().nextLong()),
                 eventLoop,
                 transport,
@@ -102,6 +106,7 @@
             controllerNode.stop();
             listeners.close();
             durableStore.close();
+            answerStore.close();
             onStopped.run();
         });
     }
--- a/src/main/java/bramblespool/process/ProxyProcess.java
+++ b/src/main/java/bramblespool/process/ProxyProcess.java
@@ -230,7 +230,8 @@
     private boolean hasWork() {
         return outboundHandler.inFlightRequests() > 0
                 || inboundHandler.inFlightRequests() > 0
-                || dataPlaneNode.admissions.load() > 0;
+                || dataPlaneNode.admissions.load() > 0
+                || dataPlaneNode.hasUncopiedAnswers();
     }
 
     private void awaitLastResponses(ShutdownSchedule schedule, Runnable onStopped) {
--- a/src/main/java/bramblespool/proxy/OutboundHandler.java
+++ b/src/main/java/bramblespool/proxy/OutboundHandler.java
@@ -1,7 +1,6 @@
 package bramblespool.proxy;
 
 import bramblespool.coordination.dataplane.DataPlaneNode;
-import bramblespool.coordination.tenancy.RequestAdmission;
 import bramblespool.state.EventLog;
 import bramblespool.state.Metric;
 import bramblespool.state.Metrics;
@@ -42,10 +41,8 @@
         this.dataPlaneNode = dataPlaneNode;
         this.monitor = new ExchangeMonitor(clock, ExchangeMonitor.Counters.OF_CLIENTS, overdueMs, metrics, log);
         this.requestResolver = new RequestResolver(clock, peerForwarder.connectionOptions.connectTimeoutMs(), log);
-        RequestAdmission requestAdmission = new RequestAdmission(
-                dataPlaneNode.admissionClient, dataPlaneNode.idempotencyTable, dataPlaneNode::queryOperation, log);
-        this.services = new ProxiedExchange.Services(
-                clock, dataPlaneNode, requestAdmission, serverForwarder, peerForwarder, metrics, log);
+        this.services =
+                new ProxiedExchange.Services(clock, dataPlaneNode, serverForwarder, peerForwarder, metrics, log);
     }
 
     /**
--- a/src/main/java/bramblespool/proxy/ProxiedExchange.java
+++ b/src/main/java/bramblespool/proxy/ProxiedExchange.java
@@ -1,5 +1,6 @@
 package bramblespool.proxy;
 
+import bramblespool.coordination.answer.StoredResponse;
 import bramblespool.coordination.configuration.ShadowCommitParticipant;
 import bramblespool.coordination.dataplane.DataPlaneNode;
 import bramblespool.coordination.membership.EndpointDirectory;
@@ -29,7 +30,6 @@
     record Services(
             Clock clock,
             DataPlaneNode dataPlaneNode,
-            RequestAdmission requestAdmission,
             ServerForwarder serverForwarder,
             PeerForwarder peerForwarder,
             Metrics metrics,
@@ -114,7 +114,7 @@
     void start() {
         deadlineTimer = services.clock.schedule(Math.max(1, remainingMs()), this::onDeadline);
         long targetMs = route.latencyTargetMs() > 0 ? route.latencyTargetMs() : remainingMs();
-        services.requestAdmission.admit(
+        services.dataPlaneNode.requestAdmission.admit(
                 admissionRequest(), Math.max(1, Math.min(targetMs, remainingMs()) / ADMISSION_WAIT_DIVISOR), this);
     }
 
@@ -164,7 +164,7 @@
     }
 
     @Override
-    public void replay(IdempotencyTable.StoredResponse response) {
+    public void replay(StoredResponse response) {
         if (isFinished) {
             return;
         }
--- a/src/main/java/bramblespool/proxy/Replies.java
+++ b/src/main/java/bramblespool/proxy/Replies.java
@@ -1,6 +1,6 @@
 package bramblespool.proxy;
 
-import bramblespool.coordination.tenancy.IdempotencyTable;
+import bramblespool.coordination.answer.StoredResponse;
 import bramblespool.protocol.HeaderNames;
 import bramblespool.transport.BodyStream;
 import bramblespool.transport.UpstreamClient;
@@ -132,7 +132,7 @@
     }
 
     /** A response as stored for repeated requests; null where it was too large to be buffered. */
-    static IdempotencyTable.StoredResponse toStoredResponse(UpstreamClient.Response response) {
+    static StoredResponse toStoredResponse(UpstreamClient.Response response) {
         if (!response.body().isComplete()) {
             return null;
         }
@@ -145,12 +145,12 @@
                         namesAndValues.addAll(List.of(values.getHeaderName().toString(), value)));
             }
         }
-        return new IdempotencyTable.StoredResponse(
+        return new StoredResponse(
                 response.statusCode(), namesAndValues, response.body().prefix());
     }
 
     /** Answers a repeated request with the stored response and the attempt id of this request. */
-    static void replay(HttpServerExchange exchange, IdempotencyTable.StoredResponse storedResponse) {
+    static void replay(HttpServerExchange exchange, StoredResponse storedResponse) {
         HeaderMap responseHeaders = exchange.getResponseHeaders();
         for (int i = 0; i + 1 < storedResponse.headers().size(); i += 2) {
             responseHeaders.add(
--- a/src/main/java/bramblespool/state/EventLog.java
+++ b/src/main/java/bramblespool/state/EventLog.java
@@ -74,6 +74,7 @@
         DISK_FAILED(501, Level.ERROR),
         DISK_RECOVERED(502, Level.INFO),
         STORE_QUARANTINED(503, Level.ERROR),
+        ANSWER_STORE_FAILED(504, Level.WARN),
         CONFIGURATION_REJECTED(601, Level.WARN),
         CONFIGURATION_CANDIDATE_STORED(602, Level.INFO),
         COMMIT_ABORTED(603, Level.WARN),
--- a/src/main/java/bramblespool/state/SqliteDatabaseFiles.java
+++ b/src/main/java/bramblespool/state/SqliteDatabaseFiles.java
@@ -3,7 +3,6 @@
 import bramblespool.state.DurableStore.LogEntry;
 import java.io.IOException;
 import java.sql.Connection;
-import java.sql.DriverManager;
 import java.sql.PreparedStatement;
 import java.sql.ResultSet;
 import java.sql.SQLException;
@@ -108,7 +107,7 @@
             throw new StoreDamagedException("an empty database with a write-ahead log");
         }
         syncWriteAheadLog();
-        connection = connect(DATABASE);
+        connection = SqliteConnections.connect(directory, DATABASE);
         StoreSchema.Format format = checkDatabase();
         if (format == StoreSchema.Format.UNINITIALIZED) {
             // Before it is closed, for closing would remove the log without a sync.
@@ -132,18 +131,6 @@
         directory.sync();
     }
 
-    private Connection connect(String name) throws SQLException {
-        Connection newConnection = DriverManager.getConnection("jdbc:sqlite:" + directory.path.resolve(name));
-        try (Statement statement = newConnection.createStatement()) {
-            statement.execute("PRAGMA busy_timeout=0");
-            statement.execute("PRAGMA locking_mode=EXCLUSIVE");
-        } catch (SQLException e) {
-            newConnection.close();
-            throw e;
-        }
-        return newConnection;
-    }
-
     /** Checks the open database, and upgrades it where it is of an old form. */
     private StoreSchema.Format checkDatabase() throws SQLException, StoreDamagedException {
         try (Statement statement = connection.createStatement()) {
@@ -158,7 +145,7 @@
                     throw new StoreDamagedException(check.getString(1));
                 }
             }
-            enableDurability(statement);
+            SqliteConnections.enableDurability(statement, CHECKPOINT_PAGES);
             if (format == StoreSchema.Format.UNMARKED) {
                 StoreSchema.upgradeUnmarked(connection, statement);
             }
@@ -166,16 +153,6 @@
         }
     }
 
-    /**
-     * From here on what a commit has returned for is on the disk: the log is synced before it, and before each
-     * checkpoint.
-     */
-    private static void enableDurability(Statement statement) throws SQLException {
-        statement.execute("PRAGMA journal_mode=WAL");
-        statement.execute("PRAGMA synchronous=FULL");
-        statement.execute("PRAGMA wal_autocheckpoint=" + CHECKPOINT_PAGES);
-    }
-
     /**
      * Creates a database and opens it. A loss of power leaves all of it or nothing. May be called again after a
      * failure.
@@ -201,20 +178,10 @@
 
     private void createDatabase(String incarnation, List<LogEntry> initialEntries) throws SQLException, IOException {
         removeLeftovers();
-        try (Connection newConnection = connect(TEMPORARY);
-                Statement statement = newConnection.createStatement()) {
-            // It is synced whole, below.
-            statement.execute("PRAGMA synchronous=OFF");
-            statement.execute("PRAGMA journal_mode=MEMORY");
-            try (SqliteTransaction transaction = SqliteTransaction.begin(statement)) {
-                StoreSchema.create(statement);
-                insertInitialRows(newConnection, incarnation, initialEntries);
-                transaction.commit();
-            }
-            statement.execute("PRAGMA journal_mode=WAL");
-        }
-        directory.sync(TEMPORARY);
-        directory.move(TEMPORARY, DATABASE);
+        SqliteConnections.create(directory, TEMPORARY, DATABASE, (newConnection, statement) -> {
+            StoreSchema.create(statement);
+            insertInitialRows(newConnection, incarnation, initialEntries);
+        });
     }
 
     private static void insertInitialRows(Connection newConnection, String incarnation, List<LogEntry> initialEntries)
--- a/src/test/java/bramblespool/cluster/IdempotencyAndRateLimitTest.java
+++ b/src/test/java/bramblespool/cluster/IdempotencyAndRateLimitTest.java
@@ -3,10 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import bramblespool.coordination.answer.StoredResponse;
 import bramblespool.coordination.dataplane.DataPlaneNode;
 import bramblespool.coordination.tenancy.IdempotencyTable;
 import bramblespool.coordination.tenancy.RequestAdmission;
-import bramblespool.state.EventLog;
 import bramblespool.state.Tenant;
 import bramblespool.testing.SimulatedDisk;
 import bramblespool.testing.SimulatedMachine;
@@ -54,56 +54,55 @@
             return;
         }
         SimulatedMachine machine = mesh.simulator.machine(SimulatedMesh.sidecarPeer(sidecarIndex));
-        new RequestAdmission(proxy.admissionClient, proxy.idempotencyTable, proxy::queryOperation, EventLog.silent())
-                .admit(
-                        new RequestAdmission.AdmissionRequest(
-                                "t", null, 1, proxy.admissionClient.registerId("t", key), key.hashCode()),
-                        400,
-                        new RequestAdmission.AdmissionHandler() {
-                            @Override
-                            public void proceed(IdempotencyTable.Operation operation) {
-                                int choice = random.nextInt(10);
-                                if (choice < 2) {
-                                    proxy.idempotencyTable.markIdle(operation);
-                                    onStatus.accept(503);
-                                    return;
-                                }
-                                executionsByKey.merge(key, 1, Integer::sum);
-                                // The answer, if any, comes while this process runs.
-                                machine.schedule(20 + random.nextInt(200), () -> {
-                                    if (choice < 3) {
-                                        proxy.idempotencyTable.markUnknown(operation);
-                                        onStatus.accept(502);
-                                    } else {
-                                        String body = key + " " + mesh.simulator.nowMs();
-                                        firstResponses.putIfAbsent(key, body);
-                                        proxy.idempotencyTable.recordResponse(
-                                                operation,
-                                                new IdempotencyTable.StoredResponse(
-                                                        200,
-                                                        List.of("X-Server-Seal", "s"),
-                                                        body.getBytes(StandardCharsets.UTF_8)));
-                                        servedCount++;
-                                        onStatus.accept(200);
-                                    }
-                                });
-                            }
-
-                            @Override
-                            public void reject(int status, long retryMs, String why) {
-                                onStatus.accept(status);
-                            }
-
-                            @Override
-                            public void replay(IdempotencyTable.StoredResponse a) {
-                                repeatedCount++;
-                                assertEquals(
-                                        firstResponses.get(key),
-                                        new String(a.body(), StandardCharsets.UTF_8),
-                                        "a repeat gets the first answer");
+        proxy.requestAdmission.admit(
+                new RequestAdmission.AdmissionRequest(
+                        "t", null, 1, proxy.admissionClient.registerId("t", key), key.hashCode()),
+                400,
+                new RequestAdmission.AdmissionHandler() {
+                    @Override
+                    public void proceed(IdempotencyTable.Operation operation) {
+                        int choice = random.nextInt(10);
+                        if (choice < 2) {
+                            proxy.idempotencyTable.markIdle(operation);
+                            onStatus.accept(503);
+                            return;
+                        }
+                        executionsByKey.merge(key, 1, Integer::sum);
+                        // The answer, if any, comes while this process runs.
+                        machine.schedule(20 + random.nextInt(200), () -> {
+                            if (choice < 3) {
+                                proxy.idempotencyTable.markUnknown(operation);
+                                onStatus.accept(502);
+                            } else {
+                                String body = key + " " + mesh.simulator.nowMs();
+                                firstResponses.putIfAbsent(key, body);
+                                proxy.idempotencyTable.recordResponse(
+                                        operation,
+                                        new StoredResponse(
+                                                200,
+                                                List.of("X-Server-Seal", "s"),
+                                                body.getBytes(StandardCharsets.UTF_8)));
+                                servedCount++;
                                 onStatus.accept(200);
                             }
                         });
+                    }
+
+                    @Override
+                    public void reject(int status, long retryMs, String why) {
+                        onStatus.accept(status);
+                    }
+
+                    @Override
+                    public void replay(StoredResponse a) {
+                        repeatedCount++;
+                        assertEquals(
+                                firstResponses.get(key),
+                                new String(a.body(), StandardCharsets.UTF_8),
+                                "a repeat gets the first answer");
+                        onStatus.accept(200);
+                    }
+                });
     }
 
     /** Retries after any answer and after a silence, sometimes elsewhere; and once more when it was served. */
@@ -241,27 +240,25 @@
             return;
         }
         askedCount++;
-        new RequestAdmission(proxy.admissionClient, proxy.idempotencyTable, proxy::queryOperation, EventLog.silent())
-                .admit(
-                        new RequestAdmission.AdmissionRequest(
-                                tenant, new Tenant(tenant, -1, ratePerS, BURST), 1, null, 0),
-                        300,
-                        new RequestAdmission.AdmissionHandler() {
-                            @Override
-                            public void proceed(IdempotencyTable.Operation o) {
-                                if (tenant.equals("hot")) {
-                                    grantTimesMs.add(mesh.simulator.nowMs());
-                                }
-                            }
+        proxy.requestAdmission.admit(
+                new RequestAdmission.AdmissionRequest(tenant, new Tenant(tenant, -1, ratePerS, BURST), 1, null, 0),
+                300,
+                new RequestAdmission.AdmissionHandler() {
+                    @Override
+                    public void proceed(IdempotencyTable.Operation o) {
+                        if (tenant.equals("hot")) {
+                            grantTimesMs.add(mesh.simulator.nowMs());
+                        }
+                    }
 
-                            @Override
-                            public void reject(int status, long retryMs, String why) {
-                                onRejected.run();
-                            }
+                    @Override
+                    public void reject(int status, long retryMs, String why) {
+                        onRejected.run();
+                    }
 
-                            @Override
-                            public void replay(IdempotencyTable.StoredResponse a) {}
-                        });
+                    @Override
+                    public void replay(StoredResponse a) {}
+                });
     }
 
     /** How long after the last fault, with at most one controller still faulty, the others are stable. */
--- a/src/test/java/bramblespool/model/KeyedClients.java
+++ b/src/test/java/bramblespool/model/KeyedClients.java
@@ -1,9 +1,9 @@
 package bramblespool.model;
 
+import bramblespool.coordination.answer.StoredResponse;
 import bramblespool.coordination.dataplane.DataPlaneNode;
 import bramblespool.coordination.tenancy.IdempotencyTable;
 import bramblespool.coordination.tenancy.RequestAdmission;
-import bramblespool.state.EventLog;
 import bramblespool.testing.SimulatedMachine;
 import bramblespool.testing.SimulatedMesh;
 import java.nio.charset.StandardCharsets;
@@ -84,8 +84,7 @@
         String tenant = "t" + key % TENANTS;
         RequestAdmission.AdmissionRequest request = new RequestAdmission.AdmissionRequest(
                 tenant, null, 1, proxy.admissionClient.registerId(tenant, "k" + key), key);
-        new RequestAdmission(proxy.admissionClient, proxy.idempotencyTable, proxy::queryOperation, EventLog.silent())
-                .admit(request, ADMISSION_TIMEOUT_MS, new Attempt(proxy, machine, key, outcome));
+        proxy.requestAdmission.admit(request, ADMISSION_TIMEOUT_MS, new Attempt(proxy, machine, key, outcome));
     }
 
     private final class Attempt implements RequestAdmission.AdmissionHandler {
@@ -122,8 +121,7 @@
             run.answeredMs = mesh.simulator.nowMs();
             proxy.idempotencyTable.recordResponse(
                     operation,
-                    new IdempotencyTable.StoredResponse(
-                            200, List.of("X-Server-Seal", "s"), run.body.getBytes(StandardCharsets.UTF_8)));
+                    new StoredResponse(200, List.of("X-Server-Seal", "s"), run.body.getBytes(StandardCharsets.UTF_8)));
         }
 
         @Override
@@ -134,7 +132,7 @@
         }
 
         @Override
-        public void replay(IdempotencyTable.StoredResponse response) {
+        public void replay(StoredResponse response) {
             replayCount++;
             checkReplayed(key, sentMs, new String(response.body(), StandardCharsets.UTF_8));
         }
--- a/src/test/java/bramblespool/model/KeyedOperationsTest.java
+++ b/src/test/java/bramblespool/model/KeyedOperationsTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Orders of events in which a key ran twice, or a repeat was refused, as schedules of the model. */
 class KeyedOperationsTest {
@@ -64,4 +65,53 @@
                 15984 KILL 1 1569 0
                 17348 TRY 0 0 37""")));
     }
+
+    /** Guards against 409 for answered keys (DENIED) once the proxy that answered was restarted. */
+    @Test
+    void answerOutlivesItsProxy() {
+        assertNull(ScheduleRunner.runSchedule(schedule(
+                "12000 WEFT_KILLED - 1000 0\n15000 WEFT_KILLED - 500 1",
+                1000,
+                "5000 0 " + ANSWERED,
+                "6000 1 " + ANSWERED,
+                "20000 2 " + ANSWERED,
+                "50000 0 " + ANSWERED)));
+    }
+
+    /** Guards against 409 for answered keys (DENIED) after all processes were killed, or lost power, at once. */
+    @ParameterizedTest
+    @ValueSource(strings = {"ALL_KILLED", "ALL_POWER", "CLOSING"})
+    void answersSurviveTheLossOfAllProcesses(String kind) {
+        String sidecars = "12000 WEFT_KILLED - 1000 0\n12000 WEFT_KILLED - 1000 1\n12000 WEFT_KILLED - 1000 2\n"
+                + "12000 WEFT_KILLED - 1000 3\n";
+        assertNull(ScheduleRunner.runSchedule(schedule(
+                sidecars + "12000 " + kind + " - 1000 1",
+                1000,
+                "5000 0 " + ANSWERED,
+                "6000 1 " + ANSWERED,
+                "25000 2 " + ANSWERED,
+                "50000 0 " + ANSWERED)));
+    }
+
+    /** Two tries of an answered key at one proxy at the same time get the answer, not 409 for each other. */
+    @Test
+    void repeatThatFindsAnotherOneUnderWayWaitsForItsOutcome() {
+        assertNull(ScheduleRunner.runSchedule(Schedule.parse("""
+                702 3 2 1
+                4076 TRY 2 0 22
+                25400 TRY 3 0 22
+                25401 TRY 3 0 22""")));
+    }
+
+    /** Known to fail: a copy that is lost with its disk is not made again, so two disks in turn lose an answer. */
+    @Test
+    void answerSurvivesTheLossOfItsDisksInTurn() {
+        assertNull(ScheduleRunner.runSchedule(Schedule.parse("""
+                1827 3 1 1
+                4071 TRY 3 0 19
+                6494 WEFT_KILLED - 1607 3
+                6651 WIPE 1 100 0
+                10795 WIPE 2 100 0
+                19922 TRY 1 0 19""")));
+    }
 }
--- a/src/test/java/bramblespool/model/Mutants.java
+++ b/src/test/java/bramblespool/model/Mutants.java
@@ -4,6 +4,7 @@
 import static bramblespool.model.ScheduleGenerator.Theme.BEYOND;
 import static bramblespool.model.ScheduleGenerator.Theme.CLOSING;
 import static bramblespool.model.ScheduleGenerator.Theme.CUT_OFF;
+import static bramblespool.model.ScheduleGenerator.Theme.KEYED;
 import static bramblespool.model.ScheduleGenerator.Theme.LEADS_AGAIN;
 import static bramblespool.model.ScheduleGenerator.Theme.MIX;
 import static bramblespool.model.ScheduleGenerator.Theme.RIVALS;
@@ -34,6 +35,13 @@
     private static final String CANDIDATE_FACTORY = "coordination/configuration/CandidateFactory.java";
     private static final String RECOVERY_ACTION = "coordination/configuration/RecoveryAction.java";
     private static final String PARTICIPANT = "coordination/configuration/ShadowCommitParticipant.java";
+    private static final String PHASE_REPLIES = "coordination/register/PhaseReplies.java";
+    private static final String PROPOSAL = "coordination/register/Proposal.java";
+    private static final String REGISTER_STATE = "coordination/register/RegisterState.java";
+    private static final String REGISTER_TABLE = "coordination/register/RegisterTable.java";
+    private static final String IDEMPOTENCY_TABLE = "coordination/tenancy/IdempotencyTable.java";
+    private static final String REQUEST_ADMISSION = "coordination/tenancy/RequestAdmission.java";
+    private static final String ANSWER_REPLICA = "coordination/answer/AnswerReplica.java";
     private static final String DATA_PLANE_NODE = "coordination/dataplane/DataPlaneNode.java";
 
     private static final List<Mutant> ELECTION = List.of(
@@ -206,6 +214,55 @@
                             "evacuations.put(entry.zone(), new Evacuation(entry.isEvacuated(), index));",
                             ""));
 
+    private static final List<Mutant> KEYED_OPERATIONS = List.of(
+            Mutant.of("uses a reservation however old it is", KEYED)
+                    .replacing(
+                            IDEMPOTENCY_TABLE,
+                            "&& clock.nowMs() - operation.claimedAtMs <= retentionMs / CLAIM_USE_DIVISOR",
+                            ""),
+            Mutant.of("takes a value of a register's former use for its present one", KEYED)
+                    .replacing(
+                            PHASE_REPLIES,
+                            "!accepted.number.hasTime() || accepted.number.issuedAtMs() > latestMs - formerUseMs",
+                            "latestMs >= formerUseMs || !accepted.number.hasTime()")
+                    .replacing(REGISTER_TABLE, "return nowMs + retentionMs - ageMs;", "return nowMs + retentionMs;"),
+            Mutant.of("a promise prolongs the value beside it", KEYED)
+                    .replacing(
+                            REGISTER_STATE,
+                            "        promiseExpiresAtMs = expiresAtMs;\n",
+                            "        promiseExpiresAtMs = expiresAtMs;\n        valueExpiresAtMs = expiresAtMs;\n")
+                    .replacing(
+                            PHASE_REPLIES,
+                            "!accepted.number.hasTime() || accepted.number.issuedAtMs() > latestMs - formerUseMs",
+                            "latestMs >= formerUseMs || !accepted.number.hasTime()"),
+            Mutant.of("a promise is forgotten at once", KEYED)
+                    .replacing(
+                            REGISTER_TABLE,
+                            "getOrCreate(registerId).promise(number, clock.nowMs() + retentionMs);",
+                            "getOrCreate(registerId).promise(number, clock.nowMs());"),
+            Mutant.of("skips the prepare phase under new voters", KEYED)
+                    .replacing(PROPOSAL, "&& context.epochAge().outlastsFormerEpochs()", ""),
+            Mutant.of("a claim is void while it is being made", KEYED)
+                    .replacing(
+                            IDEMPOTENCY_TABLE,
+                            "if (operation.state == State.IDLE) {",
+                            "if (operation.state == State.IDLE || operation.state == State.CLAIMING) {"),
+            Mutant.of("an answer has no copies", KEYED)
+                    .replacing(DATA_PLANE_NODE, "idempotencyTable.onExecuted(answerReplicator::add);", ""),
+            Mutant.of("an answer is acknowledged with one copy", KEYED)
+                    .replacing(ANSWER_REPLICA, "missingCopies = furtherCopies + 1;", "missingCopies = 1;")
+                    .replacing(ANSWER_REPLICA, "i < furtherCopies", "i < 0"),
+            Mutant.of("a copied answer outlives its key", KEYED)
+                    .replacing(
+                            IDEMPOTENCY_TABLE,
+                            "Math.min(operation.expiresAtMs, clock.nowMs() + remainingMs)",
+                            "clock.nowMs() + retentionMs + 0 * remainingMs"),
+            Mutant.of("refuses who finds another try under way", KEYED)
+                    .replacing(
+                            REQUEST_ADMISSION,
+                            "case CLAIMING -> awaitClaim(request, operation, timeoutMs, handler);",
+                            "case CLAIMING -> handler.reject(409, IN_PROGRESS_RETRY_MS, \"in progress\");"));
+
     private static final List<Mutant> PARTICIPATION = List.of(
             Mutant.of("a side takes an older version", MIX)
                     .replacing(PARTICIPANT, "if (decided.epoch() <= epoch()) {", "if (decided.epoch() == epoch()) {")
@@ -231,7 +288,15 @@
 
     /** All of them, in the order of docs/control.md. */
     static List<Mutant> all() {
-        return List.of(ELECTION, REPLICATION, SNAPSHOTS, MEMBERSHIP, READS_AND_LEADERSHIP, COORDINATION, PARTICIPATION)
+        return List.of(
+                        ELECTION,
+                        REPLICATION,
+                        SNAPSHOTS,
+                        MEMBERSHIP,
+                        READS_AND_LEADERSHIP,
+                        COORDINATION,
+                        PARTICIPATION,
+                        KEYED_OPERATIONS)
                 .stream()
                 .flatMap(List::stream)
                 .toList();
--- a/src/test/java/bramblespool/model/ScheduleGenerator.java
+++ b/src/test/java/bramblespool/model/ScheduleGenerator.java
@@ -1,5 +1,6 @@
 package bramblespool.model;
 
+import bramblespool.model.KeyedClients.ServerOutcome;
 import bramblespool.model.ScheduleStep.Kind;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,7 +26,9 @@
         STORM,
         MIX,
         /** A leader stands still with its candidate stored, a rival of the same number is committed, and it leads again. */
-        LEADS_AGAIN
+        LEADS_AGAIN,
+        /** Requests with idempotency keys, repeated inside and outside their window while processes end and return. */
+        KEYED
     }
 
     private static final Kind[] LOSSES = {
@@ -48,6 +51,7 @@
 
     private final Random random;
     private final int controllers;
+    private final int sidecars;
     private final int toleratedLosses;
     private final boolean isBeyondBudget;
     private final List<ScheduleStep> steps = new ArrayList<>();
@@ -57,6 +61,7 @@
         random = new Random(seed * 31 + theme.ordinal());
         int size = random.nextInt(10);
         controllers = size < 4 ? 3 : size < 8 ? 4 : 5;
+        sidecars = theme == Theme.KEYED ? 4 : 2;
         isBeyondBudget = theme == Theme.BEYOND || theme == Theme.STORM;
         toleratedLosses = controllers == 5 && random.nextInt(3) > 0 ? 2 : 1;
     }
@@ -79,16 +84,22 @@
             case CLOSING -> generator.drawClosing();
             case BEYOND -> generator.drawBeyond();
             case STORM -> generator.drawStorm();
+            case KEYED -> generator.drawKeyed();
             case LEADS_AGAIN -> generator.drawLeadsAgain();
             default -> generator.drawMix();
         }
         return new Schedule(
-                seed, generator.controllers, 2, generator.toleratedLosses, generator.isBeyondBudget, generator.steps);
+                seed,
+                generator.controllers,
+                generator.sidecars,
+                generator.toleratedLosses,
+                generator.isBeyondBudget,
+                generator.steps);
     }
 
     private boolean add(long atMs, Kind kind, String target, long durationMs, int argument) {
         steps.add(new ScheduleStep(atMs, kind, target, durationMs, argument));
-        if (new Schedule(0, controllers, 2, toleratedLosses, isBeyondBudget, steps).isWithinBudget()) {
+        if (new Schedule(0, controllers, sidecars, toleratedLosses, isBeyondBudget, steps).isWithinBudget()) {
             return true;
         }
         steps.remove(steps.size() - 1);
@@ -418,6 +429,62 @@
         }
     }
 
+    private void drawKeyed() {
+        int keys = 6 + random.nextInt(10);
+        for (int key = 0; key < keys; key++) {
+            drawKey(key);
+        }
+        for (int i = 0; i < 1 + random.nextInt(4); i++) {
+            long atMs = Schedule.CATCH_UP_MS + random.nextInt(95_000);
+            long durationMs = 300 + random.nextInt(3500);
+            Kind kind = List.of(
+                            Kind.KILL,
+                            Kind.KILL,
+                            Kind.POWER,
+                            Kind.WIPE,
+                            Kind.FREEZE,
+                            Kind.CUT,
+                            Kind.CLOCK,
+                            Kind.ALL_KILLED,
+                            Kind.ALL_POWER)
+                    .get(random.nextInt(9));
+            if (kind == Kind.CLOCK) {
+                add(atMs, kind, drawTarget(), 20_000, random.nextInt(6000) - 3000);
+            } else {
+                addFault(atMs, kind, String.valueOf(1 + random.nextInt(controllers)), durationMs);
+            }
+        }
+        for (int i = 0; i < random.nextInt(4); i++) {
+            long atMs = Schedule.CATCH_UP_MS + random.nextInt(80_000);
+            add(atMs, Kind.WEFT_KILLED, "-", 300 + random.nextInt(2000), random.nextInt(sidecars));
+        }
+    }
+
+    /** One key: a first try, which may be refused, a second one, and repeats about the end of its window. */
+    private void drawKey(int key) {
+        long atMs = Schedule.CATCH_UP_MS + random.nextInt(6000);
+        int sidecar = random.nextInt(sidecars);
+        addTry(atMs, sidecar, key, random.nextInt(5) < 2 ? ServerOutcome.REFUSED : drawOutcome());
+        int choice = random.nextInt(3);
+        atMs += choice == 0
+                ? 300 + random.nextInt(1500)
+                : choice == 1 ? 2000 + random.nextInt(10_000) : 20_000 + random.nextInt(25_000);
+        addTry(atMs, random.nextInt(3) > 0 ? sidecar : random.nextInt(sidecars), key, drawOutcome());
+        for (int i = 0; i < 2 + random.nextInt(2); i++) {
+            long gapMs = random.nextInt(3) == 0 ? 1500 + random.nextInt(10_000) : 40_000 + random.nextInt(50_000);
+            addTry(atMs + gapMs, random.nextInt(sidecars), key, drawOutcome());
+            addTry(atMs + gapMs + 1500 + random.nextInt(1500), random.nextInt(sidecars), key, drawOutcome());
+        }
+    }
+
+    private ServerOutcome drawOutcome() {
+        return random.nextInt(12) == 0 ? ServerOutcome.LOST : ServerOutcome.ANSWERED;
+    }
+
+    private void addTry(long atMs, int sidecar, int key, ServerOutcome outcome) {
+        steps.add(ScheduleStep.keyedTry(atMs, sidecar, key, outcome));
+    }
+
     private void drawMix() {
         long atMs = Schedule.CATCH_UP_MS;
         for (int i = 0; i < 3 + random.nextInt(5); i++) {
--- a/src/test/java/bramblespool/state/SqliteDurableStoreDamageTest.java
+++ b/src/test/java/bramblespool/state/SqliteDurableStoreDamageTest.java
@@ -245,8 +245,8 @@
         SimulatedMachine machine = new Simulator(1).machine(settings.peerAddress());
         for (String wanted : List.of(RaftNode.FOUNDER_INCARNATION, RaftNode.FOUNDER_INCARNATION, "fresh")) {
             SqliteDurableStore store = openStore(new SyncedDirectory(dir), log);
-            ControllerNode core =
-                    new ControllerNode(settings, store, "fresh", machine, machine, null, EventLog.silent());
+            ControllerNode core = new ControllerNode(
+                    settings, store, machine.disk, "fresh", machine, machine, null, EventLog.silent());
             assertTrue(core.raft().localId().endsWith("#" + wanted), core.raft().localId());
             store.close();
             if (logOutput.toString(StandardCharsets.UTF_8).contains("again")) {
--- a/src/test/java/bramblespool/testing/SimulatedDisk.java
+++ b/src/test/java/bramblespool/testing/SimulatedDisk.java
@@ -1,14 +1,18 @@
 package bramblespool.testing;
 
+import bramblespool.state.AnswerStore;
 import bramblespool.state.DurableStore;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
 
 /** A machine's disk, which syncs a little later, and may be full, slow, hang or be lost. */
-public final class SimulatedDisk implements DurableStore {
+public final class SimulatedDisk implements DurableStore, AnswerStore {
     /** A change that has been handed over and is not durable yet. */
     private record PendingWrite(Runnable write, Runnable onDurable) {}
 
@@ -21,6 +25,9 @@
     private final SimulatedMachine machine;
     private PersistentState held;
     private final Map<String, StoredRegister> registers = new LinkedHashMap<>();
+    /** By register and claim. */
+    private final Map<String, Answer> answers = new HashMap<>();
+
     private final ArrayDeque<PendingWrite> pendingWrites = new ArrayDeque<>();
     private long pendingSinceMs = -1;
     private boolean hasAcknowledged;
@@ -43,6 +50,7 @@
         held = null;
         hasAcknowledged = false;
         registers.clear();
+        answers.clear();
     }
 
     /** The process ends. Writes that were handed over may be there, in order, as far as the disk had come. */
@@ -98,6 +106,26 @@
     @Override
     public void expireRegisters(int parts) {}
 
+    @Override
+    public void saveAnswers(List<Answer> saved, Consumer<Boolean> callback) {
+        List<Answer> copy = List.copyOf(saved);
+        if (isFull) {
+            machine.schedule(0, () -> callback.accept(false));
+            return;
+        }
+        enqueue(
+                () -> copy.forEach(answer -> answers.put(answer.registerId() + " " + answer.claim(), answer)),
+                () -> callback.accept(true));
+    }
+
+    @Override
+    public void findAnswer(String registerId, String claim, Consumer<Optional<Answer>> callback) {
+        machine.schedule(1, () -> callback.accept(Optional.ofNullable(answers.get(registerId + " " + claim))));
+    }
+
+    @Override
+    public void expireAnswers(int retainedPeriods) {}
+
     private void enqueue(Runnable write, Runnable onDurable) {
         pendingWrites.add(new PendingWrite(write, onDurable));
         if (pendingWrites.size() == 1) {
--- a/src/test/java/bramblespool/testing/SimulatedMesh.java
+++ b/src/test/java/bramblespool/testing/SimulatedMesh.java
@@ -197,6 +197,7 @@
         ControllerNode controller = new ControllerNode(
                 settings(peer, seedAddresses, isBootstrap),
                 durableStore,
+                machine.disk,
                 "i" + ++incarnationCount,
                 machine,
                 machine,
