CONFIG: an admission without a fencing token is not taken for a former owner's

Cause: a reservation that needs no token of a rate limit is decided by no owner of the shard and bears no fencing token. The proxy read that as 0, below the last one it knew, and took it for a former owner's. The tokens that voters grant while a shard has no owner were thrown away likewise.

Only a response with a fencing token is compared.

--- a/src/main/java/bramblespool/coordination/tenancy/AdmissionClient.java
+++ b/src/main/java/bramblespool/coordination/tenancy/AdmissionClient.java
@@ -46,6 +46,10 @@
         UNKNOWN
     }
 
+    /** Fields of a response to which a shard's owner stands. */
+    private static final String OWNER = "owner";
+
+    private static final String FENCING_TOKEN = "fence";
     /** Number of shards of tenants; each has one owner among the controllers. */
     public static final int SHARD_COUNT = 16;
     /** The time-out of a call to one controller is {@code quiet} divided by this. */
@@ -220,19 +224,11 @@
         }
 
         private void onResponse(JsonNode response) {
-            String owner = response.path("owner").asText("");
-            long fencingToken = response.path("fence").asLong();
-            if (fencingToken < fencingTokens.getOrDefault(shard, 0L)) {
-                // A former owner that does not know yet that the shard has a new one.
+            if (isFromFormerOwner(response)) {
                 retryLater();
                 return;
             }
-            if (fencingToken > 0) {
-                fencingTokens.put(shard, fencingToken);
-            }
-            if (!owner.isEmpty()) {
-                ownersByShard.put(shard, owner);
-            }
+            rememberOwner(response);
             switch (response.path("verdict").asText()) {
                 case "go" -> callback.accept(new Decision(Verdict.ADMITTED, 0, null));
                 case "over" -> {
@@ -249,6 +245,22 @@
             }
         }
 
+        /**
+         * Whether a former owner of the shard has answered, which does not know yet that there is a new one. A response
+         * that no owner had to decide on bears no fencing token and is nobody's.
+         */
+        private boolean isFromFormerOwner(JsonNode response) {
+            return response.has(FENCING_TOKEN)
+                    && response.path(FENCING_TOKEN).asLong() < fencingTokens.getOrDefault(shard, 0L);
+        }
+
+        private void rememberOwner(JsonNode response) {
+            if (response.has(FENCING_TOKEN)) {
+                fencingTokens.put(shard, response.path(FENCING_TOKEN).asLong());
+                ownersByShard.put(shard, response.path(OWNER).asText());
+            }
+        }
+
         /** The shard has no owner now, or no majority answers: asks again while there is time. */
         private void retryLater() {
             if (deadlineMs - clock.nowMs() <= retryDelayMs + MIN_TIMEOUT_MS) {
