--- a/src/main/java/bramblespool/coordination/tenancy/AdmissionClient.java
+++ b/src/main/java/bramblespool/coordination/tenancy/AdmissionClient.java
@@ -50,6 +50,8 @@
     private static final String OWNER = "owner";
 
     private static final String FENCING_TOKEN = "fence";
+    /** So much of a request's body, where it has that much, distinguishes it from other requests. */
+    public static final int FINGERPRINT_BODY_BYTES = 64 << 10;
     /** Number of shards of tenants; each has one owner among the controllers. */
     public static final int SHARD_COUNT = 16;
     /** The time-out of a call to one controller is {@code quiet} divided by this. */
@@ -109,10 +111,16 @@
                 + Base64.getUrlEncoder().withoutPadding().encodeToString(digest).substring(0, 20);
     }
 
-    /** A digest that distinguishes different requests under one idempotency key. */
-    public long fingerprint(String method, String host, String target, byte[] body) {
+    /**
+     * A digest that distinguishes different requests under one idempotency key: over as much of the body as is read
+     * before any request is sent on, however it arrives.
+     *
+     * @param bodyStart the body, or a part from its beginning, at least {@link #FINGERPRINT_BODY_BYTES} long
+     */
+    public long fingerprint(String method, String host, String target, byte[] bodyStart) {
         sha256.update((method + " " + host + " " + target + "\n").getBytes(StandardCharsets.UTF_8));
-        byte[] digest = sha256.digest(body);
+        sha256.update(bodyStart, 0, Math.min(bodyStart.length, FINGERPRINT_BODY_BYTES));
+        byte[] digest = sha256.digest();
         long fingerprint = 0;
         for (int i = 0; i < Long.BYTES; i++) {
             fingerprint = fingerprint << 8 | digest[i] & 0xff;
--- a/src/main/java/bramblespool/proxy/ServerForwarder.java
+++ b/src/main/java/bramblespool/proxy/ServerForwarder.java
@@ -1,6 +1,7 @@
 package bramblespool.proxy;
 
 import bramblespool.coordination.singleton.UsageCounter;
+import bramblespool.coordination.tenancy.AdmissionClient;
 import bramblespool.state.Metrics;
 import bramblespool.transport.Clock;
 import bramblespool.transport.UpstreamClient;
@@ -11,7 +12,7 @@
  */
 public final class ServerForwarder {
     /** Bodies up to this size are buffered, so that a response that breaks off can still be followed by a retry. */
-    public static final int MAX_BUFFERED_BYTES = 64 << 10;
+    public static final int MAX_BUFFERED_BYTES = AdmissionClient.FINGERPRINT_BODY_BYTES;
     /** Fraction of the server's keep-alive time within which an idle connection is reused. */
     private static final double IDLE_REUSE_FRACTION = 0.5;
 
--- a/src/test/java/bramblespool/coordination/tenancy/AdmissionClientTest.java
+++ b/src/test/java/bramblespool/coordination/tenancy/AdmissionClientTest.java
@@ -1,6 +1,7 @@
 package bramblespool.coordination.tenancy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import bramblespool.coordination.tenancy.AdmissionClient.Decision;
 import bramblespool.coordination.tenancy.AdmissionClient.Verdict;
@@ -11,6 +12,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -65,6 +67,19 @@
         assertEquals(List.of(Verdict.ADMITTED, Verdict.ADMITTED), verdicts);
     }
 
+    /** Guards against 422 for repeats with long bodies (DENIED): how much of one is read at first differs. */
+    @Test
+    void fingerprintDoesNotDependOnHowMuchOfALongBodyWasRead() {
+        byte[] body = new byte[AdmissionClient.FINGERPRINT_BODY_BYTES + 5000];
+        long fingerprint = client.fingerprint("PUT", "h", "/t", body);
+        for (int read : new int[] {AdmissionClient.FINGERPRINT_BODY_BYTES, body.length - 1}) {
+            assertEquals(fingerprint, client.fingerprint("PUT", "h", "/t", Arrays.copyOf(body, read)), "read " + read);
+        }
+        body[AdmissionClient.FINGERPRINT_BODY_BYTES - 1] = 1;
+        assertNotEquals(fingerprint, client.fingerprint("PUT", "h", "/t", body));
+        assertNotEquals(fingerprint, client.fingerprint("PUT", "h", "/t", new byte[10]));
+    }
+
     @Test
     void formerOwnerIsAskedAgainLater() {
         admit(LIMITED, null).callback().accept(ownerResponse("b:1", 6));
