--- a/src/test/java/bramblespool/soak/Soak.java
+++ b/src/test/java/bramblespool/soak/Soak.java
@@ -20,7 +20,7 @@
     private Soak() {}
 
     /** What a seed brought: counts for the log, and violations, none of which may be there. */
-    record Report(int requests, int answered, int left, int faults, int changes, List<String> violations) {}
+    record Report(int requests, int answered, int left, int keyed, int faults, int changes, List<String> violations) {}
 
     /** Plays the seeds that the arguments name. */
     public static void main(String[] arguments) throws Exception {
@@ -41,24 +41,33 @@
         try (SoakMesh mesh = new SoakMesh(directory, seed)) {
             mesh.start();
             SoakTraffic traffic = new SoakTraffic(mesh);
+            SoakKeyedTraffic keyedTraffic = new SoakKeyedTraffic(mesh);
             SoakOperator operator = new SoakOperator(mesh, seed);
             SoakFaults faults = new SoakFaults(mesh, seed);
             traffic.start(seed);
+            keyedTraffic.start(seed);
             operator.start();
             faults.play(durationMs);
             operator.stop();
             traffic.stop();
+            keyedTraffic.stop();
             List<String> violations = new ArrayList<>(operator.violations());
+            violations.addAll(KeyedChecks.violations(mesh, keyedTraffic));
             long epoch = operator.readBack();
             if (epoch < operator.acknowledged()) {
                 violations.add("read back " + epoch + ", acknowledged was " + operator.acknowledged());
             }
-            return check(mesh, traffic, faults, operator, violations);
+            return check(mesh, traffic, keyedTraffic.requests().size(), faults, operator, violations);
         }
     }
 
     private static Report check(
-            SoakMesh mesh, SoakTraffic traffic, SoakFaults faults, SoakOperator operator, List<String> violations)
+            SoakMesh mesh,
+            SoakTraffic traffic,
+            int keyedRequests,
+            SoakFaults faults,
+            SoakOperator operator,
+            List<String> violations)
             throws IOException {
         int answered = 0;
         int left = 0;
@@ -69,7 +78,14 @@
             checkRuns(mesh, request, violations);
         }
         violations.addAll(mesh.faultLines());
-        return new Report(traffic.requests().size(), answered, left, faults.count(), operator.changes(), violations);
+        return new Report(
+                traffic.requests().size(),
+                answered,
+                left,
+                keyedRequests,
+                faults.count(),
+                operator.changes(),
+                violations);
     }
 
     private static boolean wasDisturbed(SoakProcess process, long fromNs, long toNs) {
--- a/src/test/java/bramblespool/soak/SoakMesh.java
+++ b/src/test/java/bramblespool/soak/SoakMesh.java
@@ -134,7 +134,8 @@
         return SimulatedMesh.document(epoch, base, "i")
                 .replace(
                         "[[\"r\"",
-                        "[[\"m\",\"x.example\",\"/m/\",\"mutating\",\"1500ms\",\"600ms\",1,null,2,\"desk\"],"
+                        "[[\"k\",\"x.example\",\"/k/\",\"keyed\",\"1500ms\",\"600ms\",1,null,2,\"desk\"],"
+                                + "[\"m\",\"x.example\",\"/m/\",\"mutating\",\"1500ms\",\"600ms\",1,null,2,\"desk\"],"
                                 + "[\"v\",\"x.example\",\"/v" + epoch
                                 + "/\",\"idempotent\",\"1500ms\",\"600ms\",1,null,2,"
                                 + "\"desk\"],[\"r\"")
--- a/src/test/java/bramblespool/soak/SoakServer.java
+++ b/src/test/java/bramblespool/soak/SoakServer.java
@@ -97,7 +97,8 @@
                 String head = RawHttp.readHead(connection.getInputStream());
                 connection.getInputStream().readNBytes(Integer.parseInt(RawHttp.header(head, "Content-Length", "0")));
                 String id = RawHttp.header(head, "X-Attempt-Id", "none");
-                Run run = ledger.begin(id, number);
+                // A key's runs are counted under the key, whichever attempt they are of.
+                Run run = ledger.begin(RawHttp.header(head, "X-Operation-Key", id), number);
                 boolean isConnected = work(connection);
                 run.wasDropped = !isConnected;
                 run.endedNs = System.nanoTime();
--- a/src/test/java/bramblespool/soak/SoakTest.java
+++ b/src/test/java/bramblespool/soak/SoakTest.java
@@ -20,7 +20,7 @@
     void everyInvariantHoldsUnderOverlappingFaults() throws Exception {
         Soak.Report report = Soak.play(SEED, DURATION_MS, directory);
         assertEquals(List.of(), report.violations());
-        assertTrue(report.answered() > 0 && report.left() > 0, report.toString());
+        assertTrue(report.answered() > 0 && report.left() > 0 && report.keyed() > 0, report.toString());
         assertTrue(report.faults() > 0 && report.changes() > 0, report.toString());
     }
 }
