DENIED: copies of answers outlast a lost disk, and every proxy that gave one sees to them

Two ways in which an answered key was refused were left:

An answer is stored with the other controllers that keep it, and a controller with an empty disk reads from them what it kept.

--- a/src/main/java/bramblespool/coordination/answer/AnswerCodec.java
+++ b/src/main/java/bramblespool/coordination/answer/AnswerCodec.java
@@ -1,9 +1,8 @@
 package bramblespool.coordination.answer;
 
 import bramblespool.state.AnswerStore.Answer;
-import com.fasterxml.jackson.core.JsonProcessingException;
+import bramblespool.state.AnswerStore.AnswerPage;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -19,15 +18,19 @@
 public final class AnswerCodec {
     /** Kind of the message with answers to be kept. */
     public static final String KEEP_KIND = "answers";
+    /** Kind of the question of a controller that has lost its disk. */
+    public static final String RECOVER_KIND = "answers/recover";
     /** Kind of the question for one answer. */
     public static final String FIND_KIND = "answer";
 
-    private static final ObjectMapper JSON = new ObjectMapper();
     private static final String STATUS_CODE = "code";
     private static final String HEADERS = "headers";
     private static final String BODY = "body";
     private static final String ITEMS = "items";
-    private static final String IS_REPLICA = "replica";
+    private static final String SENDER = "from";
+    private static final String HOLDER = "holder";
+    private static final String AFTER_SEQUENCE = "after";
+    private static final String HAS_MORE = "more";
     private static final String REGISTER_ID = "register";
     private static final String CLAIM = "claim";
     private static final String FINGERPRINT = "print";
@@ -37,10 +40,18 @@
     /**
      * Answers to be kept.
      *
-     * @param isReplica whether another controller sends them, which sees to all further copies
+     * @param otherHolders the peer addresses of the controllers that keep them besides and see to all further copies,
+     *     separated by spaces; empty where a proxy sends them
      * @param answers their times are by the clock of whoever reads or writes the message
      */
-    record KeepRequest(boolean isReplica, List<Answer> answers) {}
+    record KeepRequest(String otherHolders, List<Answer> answers) {
+        boolean isReplica() {
+            return !otherHolders.isEmpty();
+        }
+    }
+
+    /** Asks a controller for answers that the asking one kept, too, before it lost its disk. */
+    record RecoverRequest(String otherHolder, long afterSequence) {}
 
     private AnswerCodec() {}
 
@@ -68,25 +79,16 @@
         }
     }
 
-    static String encodeResponse(StoredResponse response) {
-        ObjectNode node = JsonNodeFactory.instance.objectNode();
-        writeResponse(node, response);
-        return node.toString();
-    }
-
-    private static Optional<StoredResponse> decodeResponse(String encoded) {
-        try {
-            return readResponse(JSON.readTree(encoded));
-        } catch (JsonProcessingException e) {
-            return Optional.empty();
-        }
-    }
-
     /** @param nowMs by the clock of the answers' times */
     static ObjectNode encodeKeep(KeepRequest request, long nowMs) {
-        ObjectNode node = JsonNodeFactory.instance.objectNode().put(IS_REPLICA, request.isReplica());
+        ObjectNode node = JsonNodeFactory.instance.objectNode().put(SENDER, request.otherHolders());
+        writeAnswers(node, request.answers(), nowMs);
+        return node;
+    }
+
+    private static void writeAnswers(ObjectNode node, List<Answer> answers, long nowMs) {
         ArrayNode items = node.putArray(ITEMS);
-        for (Answer answer : request.answers()) {
+        for (Answer answer : answers) {
             items.addObject()
                     .put(REGISTER_ID, answer.registerId())
                     .put(CLAIM, answer.claim())
@@ -94,11 +96,15 @@
                     .put(REMAINING_MS, answer.expiresAtMs() - nowMs)
                     .put(RESPONSE, answer.response());
         }
-        return node;
     }
 
     /** @param nowMs by the clock that the answers' times are to be of */
     static KeepRequest decodeKeep(JsonNode node, long nowMs) {
+        String otherHolders = node.path(SENDER).asText();
+        return new KeepRequest(otherHolders, readAnswers(node, otherHolders, nowMs));
+    }
+
+    private static List<Answer> readAnswers(JsonNode node, String otherHolders, long nowMs) {
         List<Answer> answers = new ArrayList<>(node.path(ITEMS).size());
         for (JsonNode item : node.path(ITEMS)) {
             answers.add(new Answer(
@@ -106,9 +112,45 @@
                     item.path(CLAIM).asText(),
                     item.path(FINGERPRINT).asLong(),
                     nowMs + item.path(REMAINING_MS).asLong(),
-                    item.path(RESPONSE).asText()));
+                    item.path(RESPONSE).asText(),
+                    otherHolders));
         }
-        return new KeepRequest(node.path(IS_REPLICA).asBoolean(), answers);
+        return answers;
+    }
+
+    static ObjectNode encodeRecover(RecoverRequest request) {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put(HOLDER, request.otherHolder())
+                .put(AFTER_SEQUENCE, request.afterSequence());
+    }
+
+    static RecoverRequest decodeRecover(JsonNode node) {
+        return new RecoverRequest(
+                node.path(HOLDER).asText(), node.path(AFTER_SEQUENCE).asLong());
+    }
+
+    /** @param nowMs by the clock of the answers' times */
+    static ObjectNode encodePage(AnswerPage page, long nowMs) {
+        ObjectNode node = JsonNodeFactory.instance
+                .objectNode()
+                .put(AFTER_SEQUENCE, page.lastSequence())
+                .put(HAS_MORE, page.hasMore());
+        writeAnswers(
+                node,
+                page.answers().stream()
+                        .filter(answer -> answer.expiresAtMs() > nowMs)
+                        .toList(),
+                nowMs);
+        return node;
+    }
+
+    /** @param otherHolder the controller that has sent the page */
+    static AnswerPage decodePage(JsonNode node, String otherHolder, long nowMs) {
+        return new AnswerPage(
+                readAnswers(node, otherHolder, nowMs),
+                node.path(AFTER_SEQUENCE).asLong(),
+                node.path(HAS_MORE).asBoolean());
     }
 
     static ObjectNode encodeKept() {
@@ -141,7 +183,7 @@
     }
 
     static Optional<FoundAnswer> decodeFound(JsonNode node) {
-        return decodeResponse(node.path(RESPONSE).asText("null"))
+        return ResponseArchive.unpack(node.path(RESPONSE).asText())
                 .map(response -> new FoundAnswer(
                         node.path(FINGERPRINT).asLong(), node.path(REMAINING_MS).asLong(), response));
     }
--- a/src/main/java/bramblespool/coordination/answer/AnswerReplica.java
+++ b/src/main/java/bramblespool/coordination/answer/AnswerReplica.java
@@ -3,12 +3,15 @@
 import bramblespool.coordination.time.ClusterClock;
 import bramblespool.state.AnswerStore;
 import bramblespool.state.AnswerStore.Answer;
+import bramblespool.state.AnswerStore.AnswerPage;
 import bramblespool.transport.Clock;
 import bramblespool.transport.PeerTransport;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -20,6 +23,9 @@
     /** The store removes answers by parts of the retention time. */
     private static final int RETENTION_PARTS = 8;
 
+    /** Answers in one message to a controller that has lost its disk. */
+    private static final int RECOVERY_PAGE_SIZE = 32;
+
     /**
      * How it is to act.
      *
@@ -36,6 +42,7 @@
         private final List<Consumer<Boolean>> callbacks = new ArrayList<>();
     }
 
+    private final String self;
     private final AnswerStore store;
     private final Clock clock;
     private final ClusterClock clusterClock;
@@ -45,14 +52,19 @@
     /** The batch that is being gathered; null between two. */
     private Batch openBatch;
 
-    /** @param otherControllers the other controllers' peer addresses, those first that are to keep copies */
+    /**
+     * @param self this controller's peer address
+     * @param otherControllers the other controllers' peer addresses, those first that are to keep copies
+     */
     public AnswerReplica(
+            String self,
             AnswerStore store,
             Clock clock,
             ClusterClock clusterClock,
             PeerTransport transport,
             Supplier<List<String>> otherControllers,
             Options options) {
+        this.self = self;
         this.store = store;
         this.clock = clock;
         this.clusterClock = clusterClock;
@@ -97,6 +109,72 @@
                 found -> callback.accept(AnswerCodec.encodeFound(found, clusterClock.now())));
     }
 
+    /** Gives a controller that has lost its disk the answers that it kept besides this one. */
+    public void handleRecover(JsonNode message, Consumer<ObjectNode> callback) {
+        AnswerCodec.RecoverRequest request = AnswerCodec.decodeRecover(message);
+        store.pageAnswers(
+                request.otherHolder(),
+                request.afterSequence(),
+                RECOVERY_PAGE_SIZE,
+                page -> callback.accept(AnswerCodec.encodePage(page, clusterClock.now())));
+    }
+
+    /**
+     * To be called where this controller's disk was lost: asks all others for the answers that it kept, for as long as
+     * somebody may become known who has some.
+     */
+    public void recover(long durationMs) {
+        new Recovery(clock.nowMs() + durationMs).askAll();
+    }
+
+    /** Reads the others' answers, page after page, each of them once. */
+    private final class Recovery {
+        private final long endMs;
+        private final Set<String> asked = new HashSet<>();
+
+        Recovery(long endMs) {
+            this.endMs = endMs;
+        }
+
+        void askAll() {
+            for (String controller : otherControllers.get()) {
+                if (asked.add(controller)) {
+                    requestPage(controller, 0);
+                }
+            }
+            if (clock.nowMs() < endMs) {
+                clock.schedule(options.callTimeoutMs, this::askAll);
+            }
+        }
+
+        private void requestPage(String controller, long afterSequence) {
+            transport.call(
+                    controller,
+                    AnswerCodec.RECOVER_KIND,
+                    AnswerCodec.encodeRecover(new AnswerCodec.RecoverRequest(self, afterSequence)),
+                    options.callTimeoutMs,
+                    response -> {
+                        if (response == null) {
+                            // It is asked again from the beginning, while there is time.
+                            asked.remove(controller);
+                        } else {
+                            keep(controller, AnswerCodec.decodePage(response, controller, clusterClock.now()));
+                        }
+                    });
+        }
+
+        private void keep(String controller, AnswerPage page) {
+            if (page.answers().isEmpty()) {
+                return;
+            }
+            store.saveAnswers(page.answers(), isKept -> {
+                if (page.hasMore()) {
+                    requestPage(controller, page.lastSequence());
+                }
+            });
+        }
+    }
+
     /** Has one batch kept here and elsewhere; a controller that does not take it is passed over for the next one. */
     private final class Replication {
         private final Batch batch;
@@ -113,18 +191,28 @@
         void start() {
             int furtherCopies = Math.min(options.furtherCopies, candidates.size());
             missingCopies = furtherCopies + 1;
-            store.saveAnswers(batch.answers, this::onCopy);
+            String holders = holders(furtherCopies);
+            store.saveAnswers(
+                    batch.answers.stream()
+                            .map(answer -> answer.withOtherHolders(holders))
+                            .toList(),
+                    this::onCopy);
             for (int i = 0; i < furtherCopies; i++) {
                 sendToNext();
             }
         }
 
+        /** The controllers that are meant to keep the answers besides this one. */
+        private String holders(int furtherCopies) {
+            return String.join(" ", candidates.subList(0, furtherCopies));
+        }
+
         private void sendToNext() {
             if (candidates.isEmpty()) {
                 onCopy(false);
                 return;
             }
-            AnswerCodec.KeepRequest request = new AnswerCodec.KeepRequest(true, batch.answers);
+            AnswerCodec.KeepRequest request = new AnswerCodec.KeepRequest(self, batch.answers);
             transport.call(
                     candidates.remove(0),
                     AnswerCodec.KEEP_KIND,
--- a/src/main/java/bramblespool/coordination/answer/AnswerReplicator.java
+++ b/src/main/java/bramblespool/coordination/answer/AnswerReplicator.java
@@ -25,6 +25,8 @@
      */
     public record Timings(long gatherMs, long callTimeoutMs, long exclusionMs) {}
 
+    /** Which controllers will keep an answer is for them to say. */
+    private static final String NO_HOLDERS = "";
     /** A message is closed once its answers have this size: little enough for a narrow link and a slow disk. */
     private static final int MAX_MESSAGE_BYTES = 64 << 10;
 
@@ -115,13 +117,14 @@
                     operation.claim(),
                     operation.fingerprint(),
                     operation.expiresAtMs(),
-                    AnswerCodec.encodeResponse(operation.response())));
+                    ResponseArchive.pack(operation.response()),
+                    NO_HOLDERS));
         }
         isSending = true;
         transport.call(
                 controller,
                 AnswerCodec.KEEP_KIND,
-                AnswerCodec.encodeKeep(new AnswerCodec.KeepRequest(false, answers), clock.nowMs()),
+                AnswerCodec.encodeKeep(new AnswerCodec.KeepRequest(NO_HOLDERS, answers), clock.nowMs()),
                 timings.callTimeoutMs,
                 response -> onResponse(controller, batch, response != null));
     }
--- a/src/main/java/bramblespool/coordination/controller/ControllerNode.java
+++ b/src/main/java/bramblespool/coordination/controller/ControllerNode.java
@@ -46,8 +46,8 @@
     private static final int JOIN_DIVISOR = 12;
     /** Rounds of singleton roles within one renewal of a session. */
     private static final int ROLE_CHECKS_PER_RENEWAL = 4;
-    /** Ratio to the time-out of a call of the time for which answers are gathered. */
-    private static final int ANSWER_GATHER_DIVISOR = 5;
+    /** Ratio to {@code quiet} of the time for which answers are gathered. */
+    private static final int ANSWER_GATHER_DIVISOR = 15;
     /** Ratio to {@code quiet} of the lateness of timers from which a controller counts as overloaded. */
     private static final int LATENESS_DIVISOR = 40;
 
@@ -61,25 +61,28 @@
     private final OperatorRequestHandler operatorRequests;
     private final SingletonRoleScheduler roleScheduler;
     private final AnswerReplica answerReplica;
+    private final boolean hasLostStore;
     private final OverloadDetector overloadDetector;
     private final PeerMessageDispatcher dispatcher;
 
+    /** What a controller has on its disk. */
+    public record Stores(DurableStore durableStore, AnswerStore answerStore) {}
+
     /**
-     * @param answerStore on the same disk
      * @param newIncarnation this member's incarnation, if its store is empty and it joins a group
      * @param platform the platform's client, or null where servers report themselves and nobody wants usage reports
      */
     public ControllerNode(
             Settings settings,
-            DurableStore durableStore,
-            AnswerStore answerStore,
+            Stores stores,
             String newIncarnation,
             Clock clock,
             PeerTransport transport,
             PlatformClient platform,
             EventLog log) {
         Settings.Bounds bounds = settings.bounds();
-        StoredIdentity identity = StoredIdentity.load(settings, durableStore, newIncarnation);
+        StoredIdentity identity = StoredIdentity.load(settings, stores.durableStore, newIncarnation);
+        this.hasLostStore = identity.hasLostStore();
         ReplicatedState replicatedState = new ReplicatedState();
         this.clock = clock;
         this.local = new LocalController(settings, identity.memberId(), replicatedState);
@@ -88,19 +91,18 @@
         this.member = new GroupMember(
                 context,
                 identity,
-                durableStore,
+                stores.durableStore,
                 replicatedState,
                 this::publishReplicatedState,
                 this::onLeadershipChanged);
-        RaftNode raft = member.raft();
-        LeaderContact leaderContact = LeaderContact.of(raft);
+        LeaderContact leaderContact = LeaderContact.of(member.raft());
         this.overloadDetector = new OverloadDetector(clock, bounds.quietPeriodMs() / LATENESS_DIVISOR, log);
         this.zoneGossip = new ZoneGossip(context, this::openSessionAddresses, leaderContact, overloadDetector);
         GossipStore gossip = zoneGossip.store();
         this.sessions = new SessionRegistry(context, gossip, leaderContact);
         gossip.addListener(sessions::onGossipEntry);
-
-        this.answerReplica = newAnswerReplica(context, answerStore);
+        this.answerReplica = newAnswerReplica(context, stores.answerStore);
+        RaftNode raft = member.raft();
         PhaseRelay phaseRelay =
                 new PhaseRelay(transport, new TermGuard(log), raft::leaderTerm, sessions::peerAddressOf);
         this.commitCoordinator = newCommitCoordinator(context, phaseRelay);
@@ -110,8 +112,7 @@
         this.roleScheduler =
                 new SingletonRoleScheduler(context, member, zoneGossip, sessions, platform, identity.hasFreshStore());
 
-        TenantRateLimiter rateLimiter = new TenantRateLimiter(
-                clock, bounds.rateLimitWindowMs(), bounds.rateLimitExcess(), bounds.rateLimitAllowance());
+        TenantRateLimiter rateLimiter = newRateLimiter(bounds);
         this.dispatcher = new PeerMessageDispatcher(log);
         addMessageFamilies();
         registerProxyMessages(context, rateLimiter);
@@ -119,6 +120,11 @@
         registerStatus(rateLimiter);
     }
 
+    private TenantRateLimiter newRateLimiter(Settings.Bounds bounds) {
+        return new TenantRateLimiter(
+                clock, bounds.rateLimitWindowMs(), bounds.rateLimitExcess(), bounds.rateLimitAllowance());
+    }
+
     private ShadowCommitCoordinator newCommitCoordinator(ControllerContext context, PhaseRelay phaseRelay) {
         Settings.Bounds bounds = local.settings().bounds();
         RaftNode raft = member.raft();
@@ -137,6 +143,7 @@
     private AnswerReplica newAnswerReplica(ControllerContext context, AnswerStore answerStore) {
         Settings settings = local.settings();
         return new AnswerReplica(
+                local.peerAddress(),
                 answerStore,
                 clock,
                 member.clusterClock(),
@@ -144,7 +151,7 @@
                 zoneGossip::otherControllersByPreference,
                 new AnswerReplica.Options(
                         settings.tolerableMachineLosses(),
-                        context.callTimeoutMs() / ANSWER_GATHER_DIVISOR,
+                        settings.bounds().quietPeriodMs() / ANSWER_GATHER_DIVISOR,
                         context.callTimeoutMs(),
                         IdempotencyTable.retentionMs(settings.bounds().idempotencyKeyWindowMs())));
     }
@@ -189,6 +196,7 @@
                 (request, responder) -> responder.respond(admission.takeToken(request)));
         dispatcher.register(AnswerCodec.KEEP_KIND, answerReplica::handleKeep);
         dispatcher.register(AnswerCodec.FIND_KIND, answerReplica::handleFind);
+        dispatcher.register(AnswerCodec.RECOVER_KIND, answerReplica::handleRecover);
         dispatcher.register(
                 PeerMessageKinds.DOCUMENT,
                 DocumentCodec.INSTANCE,
@@ -231,6 +239,9 @@
         member.registers().start();
         member.shardLeases().start();
         answerReplica.start();
+        if (hasLostStore) {
+            answerReplica.recover(local.settings().bounds().catchUpMs());
+        }
         roleScheduler.start();
         clock.execute(this::join);
         clock.scheduleRepeatedly(renewalMs, () -> {
--- a/src/main/java/bramblespool/coordination/controller/StoredIdentity.java
+++ b/src/main/java/bramblespool/coordination/controller/StoredIdentity.java
@@ -12,8 +12,10 @@
  *
  * @param memberId peer address and incarnation, as consensus names this member
  * @param hasFreshStore whether this process founded its store: nothing was ever granted under it before
+ * @param hasLostStore whether the store was empty though the system has run before: a disk was lost, or is new
  */
-record StoredIdentity(String memberId, DurableStore.PersistentState state, boolean hasFreshStore) {
+record StoredIdentity(
+        String memberId, DurableStore.PersistentState state, boolean hasFreshStore, boolean hasLostStore) {
     /** @param newIncarnation the incarnation of a member that joins with an empty store */
     static StoredIdentity load(Settings settings, DurableStore store, String newIncarnation) {
         boolean isEmpty = store.isEmpty();
@@ -27,6 +29,7 @@
                     isFounder ? List.of(RaftNode.foundingEntry(founders)) : List.of());
         }
         DurableStore.PersistentState state = store.load();
-        return new StoredIdentity(settings.peerAddress() + "#" + state.incarnation(), state, hasFreshStore);
+        return new StoredIdentity(
+                settings.peerAddress() + "#" + state.incarnation(), state, hasFreshStore, isEmpty && !hasFreshStore);
     }
 }
--- a/src/main/java/bramblespool/coordination/controller/ZoneGossip.java
+++ b/src/main/java/bramblespool/coordination/controller/ZoneGossip.java
@@ -84,7 +84,7 @@
         return leaderContact.isRecent();
     }
 
-    /** The other controllers' peer addresses, those of other zones first, and among them in an order of this one's own. */
+    /** The other controllers' peer addresses, those of other zones first, then in an order of this one's own. */
     List<String> otherControllersByPreference() {
         Set<String> sameZone = new HashSet<>();
         for (GossipStore.GossipEntry entry : store.entriesWithPrefix(GossipKeys.CONTROLLER_KEY_PREFIX)) {
--- a/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
+++ b/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
@@ -67,7 +67,7 @@
     private static final double SHUTDOWN_SERVING_SHARE = 0.6;
 
     /** Answers are gathered for {@code quiet} divided by this before they are handed to a controller. */
-    private static final int ANSWER_GATHER_DIVISOR = 10;
+    private static final int ANSWER_GATHER_DIVISOR = 5;
     /** A controller, which waits for another one itself, is waited for for {@code quiet} divided by this. */
     private static final int ANSWER_TIMEOUT_DIVISOR = 3;
     /** Stored responses of idempotency keys take at most the machine's memory divided by this. */
--- a/src/main/java/bramblespool/coordination/tenancy/IdempotencyTable.java
+++ b/src/main/java/bramblespool/coordination/tenancy/IdempotencyTable.java
@@ -87,10 +87,12 @@
     /** Retention as a multiple of the window, which begins when the client sends the request. */
     private static final double RETENTION_FACTOR = 1.25;
     /**
-     * A claim may be used for the retention divided by this, a third of what that is longer than the window; the rest is
-     * for clocks that differ and for requests that are long under way.
+     * A claim may be used for the retention divided by this, a third of what that is longer than the window; the rest
+     * is for clocks that differ and for requests that are long under way.
      */
     private static final int CLAIM_USE_DIVISOR = 15;
+    /** An answer counts as recent for its claim's validity divided by this. */
+    private static final int RECENT_DIVISOR = 13;
 
     private final Clock clock;
     private final String claimant;
@@ -228,14 +230,20 @@
     }
 
     /**
-     * It was executed elsewhere, with this response.
+     * It was executed elsewhere, with this response, which is given here, too. Where that was a short while ago, the
+     * proxy that executed it may end before anybody has a copy, so this one sees to copies as well.
      *
-     * @param remainingMs for how long its claim is still retained: a repeat after that may be executed again
+     * @param claim the claim under which it was executed
+     * @param remainingMs for how long that claim still counts: a repeat after that may be executed again
      */
-    public void recordCopy(Operation operation, StoredResponse response, long remainingMs) {
+    void recordCopy(Operation operation, String claim, StoredResponse response, long remainingMs) {
         changeState(operation, State.ANSWERED);
         operation.expiresAtMs = Math.min(operation.expiresAtMs, clock.nowMs() + remainingMs);
         store(operation, response);
+        if (validityMs - remainingMs < validityMs / RECENT_DIVISOR) {
+            executionListener.accept(
+                    new ExecutedOperation(operation.id, claim, operation.fingerprint, response, operation.expiresAtMs));
+        }
     }
 
     /** For how long an operation's claim is retained from now on. */
--- a/src/main/java/bramblespool/coordination/tenancy/RequestAdmission.java
+++ b/src/main/java/bramblespool/coordination/tenancy/RequestAdmission.java
@@ -222,7 +222,7 @@
             idempotencyTable.markIdle(operation);
             Optional<StoredResponse> response = outcome == null ? Optional.empty() : AnswerCodec.readResponse(outcome);
             if (state.equals(State.ANSWERED.name()) && response.isPresent()) {
-                replayCopy(operation, response.get(), AnswerCodec.readRemaining(outcome), handler);
+                replayCopy(operation, existingClaim, response.get(), AnswerCodec.readRemaining(outcome), handler);
             } else if (state.equals(DIFFERENT_REQUEST)) {
                 handler.reject(422, 0, "the key belongs to another request");
             } else if (state.equals(State.RUNNING.name()) || state.equals(State.CLAIMING.name())) {
@@ -234,8 +234,9 @@
         });
     }
 
-    private void replayCopy(Operation operation, StoredResponse response, long remainingMs, AdmissionHandler handler) {
-        idempotencyTable.recordCopy(operation, response, remainingMs);
+    private void replayCopy(
+            Operation operation, String claim, StoredResponse response, long remainingMs, AdmissionHandler handler) {
+        idempotencyTable.recordCopy(operation, claim, response, remainingMs);
         handler.replay(response);
     }
 
@@ -258,7 +259,7 @@
             } else if (found.get().fingerprint() != request.fingerprint) {
                 handler.reject(422, 0, "the key belongs to another request");
             } else {
-                replayCopy(operation, found.get().response(), found.get().remainingMs(), handler);
+                replayCopy(operation, claim, found.get().response(), found.get().remainingMs(), handler);
             }
         });
     }
--- a/src/main/java/bramblespool/coordination/time/ClockSynchronizer.java
+++ b/src/main/java/bramblespool/coordination/time/ClockSynchronizer.java
@@ -57,7 +57,7 @@
             clock.schedule(timings.intervalMs, this::synchronize);
             return;
         }
-        Collection<String> members = List.copyOf(voters.get());
+        List<String> members = List.copyOf(voters.get());
         List<Long> offsets = new ArrayList<>();
         long askedAtMs = clock.nowMs();
         for (String member : members) {
@@ -75,7 +75,7 @@
         clock.schedule(timings.callTimeoutMs + 1, () -> finishRound(members, offsets));
     }
 
-    private void finishRound(Collection<String> members, List<Long> offsets) {
+    private void finishRound(List<String> members, List<Long> offsets) {
         // Nobody agrees for voters that are not known yet, as before the log is read.
         int requiredClocks = members.isEmpty() ? Integer.MAX_VALUE : members.size() / 2 + 1;
         clusterClock.adoptMedian(offsets, requiredClocks);
--- a/src/main/java/bramblespool/process/ControllerProcess.java
+++ b/src/main/java/bramblespool/process/ControllerProcess.java
@@ -53,8 +53,7 @@
                         : null;
         controllerNode = new ControllerNode(
                 settings,
-                durableStore,
-                answerStore,
+                new ControllerNode.Stores(durableStore, answerStore),
                 Long.toHexString(new SecureRandom().nextLong()),
                 eventLoop,
                 transport,
--- a/src/main/java/bramblespool/state/SqliteAnswerStore.java
+++ b/src/main/java/bramblespool/state/SqliteAnswerStore.java
@@ -18,9 +18,9 @@
 import org.sqlite.SQLiteErrorCode;
 
 /**
- * Answers in a SQLite database of their own, beside that of the {@link SqliteDurableStore}, so that neither the size nor
- * the syncs nor a damage of this one concern the other. All that is waiting is written in one transaction. A database
- * that can't be used is removed and created anew: what it held is lost, and nothing else.
+ * Answers in a SQLite database of their own, beside that of the {@link SqliteDurableStore}, so that neither the size
+ * nor the syncs nor a damage of this one concern the other. All that is waiting is written in one transaction. A
+ * database that can't be used is removed and created anew: what it held is lost, and nothing else.
  *
  * <p>Threads: the public methods are confined to the event loop. The database belongs to a thread that starts with the
  * first call, so a controller without keyed requests has neither; the two share the queue of tasks and the volatile
@@ -38,12 +38,16 @@
 
     private static final String CREATE_TABLE =
             "CREATE TABLE answer(seq INTEGER PRIMARY KEY, key INTEGER, register TEXT, claim TEXT, print INTEGER,"
-                    + " expires INTEGER, response TEXT, sum INTEGER)";
+                    + " expires INTEGER, response TEXT, holders TEXT, sum INTEGER)";
     private static final String CREATE_INDEX = "CREATE INDEX answer_key ON answer(key)";
     private static final String SELECT_NEWEST = "SELECT max(seq) FROM answer";
-    private static final String INSERT = "INSERT INTO answer VALUES(?,?,?,?,?,?,?,?)";
+    private static final String INSERT = "INSERT INTO answer VALUES(?,?,?,?,?,?,?,?,?)";
     private static final String SELECT =
-            "SELECT seq, print, expires, response, sum FROM answer WHERE key=? AND register=? AND claim=?";
+            "SELECT seq, register, claim, print, expires, response, holders, sum FROM answer"
+                    + " WHERE key=? AND register=? AND claim=?";
+    private static final String SELECT_PAGE =
+            "SELECT seq, register, claim, print, expires, response, holders, sum FROM answer"
+                    + " WHERE seq>? AND instr(' '||holders||' ', ' '||?||' ')>0 ORDER BY seq LIMIT ?";
     private static final String DELETE_UP_TO = "DELETE FROM answer WHERE seq<=?";
 
     /** Something for the database's thread to do. */
@@ -53,6 +57,9 @@
 
     private record Find(String registerId, String claim, Consumer<Optional<Answer>> callback) implements Task {}
 
+    private record ReadPage(String otherHolder, long afterSequence, int limit, Consumer<AnswerPage> callback)
+            implements Task {}
+
     private record Expire(int retainedPeriods) implements Task {}
 
     private final SyncedDirectory directory;
@@ -94,6 +101,11 @@
         enqueue(new Find(registerId, claim, callback));
     }
 
+    @Override
+    public void pageAnswers(String otherHolder, long afterSequence, int limit, Consumer<AnswerPage> callback) {
+        enqueue(new ReadPage(otherHolder, afterSequence, limit, callback));
+    }
+
     @Override
     public void expireAnswers(int retainedPeriods) {
         if (thread != null) {
@@ -173,7 +185,8 @@
         insertion.setLong(5, answer.fingerprint());
         insertion.setLong(6, answer.expiresAtMs());
         insertion.setString(7, answer.response());
-        insertion.setLong(8, checksum(lastSequence, answer));
+        insertion.setString(8, answer.otherHolders());
+        insertion.setLong(9, checksum(lastSequence, answer));
         insertion.executeUpdate();
     }
 
@@ -184,7 +197,8 @@
                 answer.claim(),
                 answer.fingerprint(),
                 answer.expiresAtMs(),
-                answer.response());
+                answer.response(),
+                answer.otherHolders());
     }
 
     /** What the index is over: short, and nearly always another one for another answer. */
@@ -196,6 +210,9 @@
         if (task instanceof Find find) {
             Optional<Answer> found = find(find);
             eventLoop.execute(() -> find.callback.accept(found));
+        } else if (task instanceof ReadPage request) {
+            AnswerPage page = readPage(request);
+            eventLoop.execute(() -> request.callback.accept(page));
         } else if (task instanceof Expire expire) {
             expire(expire.retainedPeriods);
         }
@@ -203,11 +220,7 @@
 
     private Optional<Answer> find(Find find) {
         try {
-            if (connection == null && !directory.contains(DATABASE)) {
-                return Optional.empty();
-            }
-            openDatabase();
-            return select(find.registerId, find.claim);
+            return openExisting() ? select(find.registerId, find.claim) : Optional.empty();
         } catch (SQLException | IOException e) {
             onFailure(e);
             return Optional.empty();
@@ -220,13 +233,56 @@
             selection.setString(2, registerId);
             selection.setString(3, claim);
             try (ResultSet row = selection.executeQuery()) {
-                if (!row.next()) {
-                    return Optional.empty();
+                return row.next() ? readRow(row) : Optional.empty();
+            }
+        }
+    }
+
+    /** The answer of a row; none where the row is not as it was written. */
+    private static Optional<Answer> readRow(ResultSet row) throws SQLException {
+        Answer answer = new Answer(
+                row.getString(2), row.getString(3), row.getLong(4), row.getLong(5), row.getString(6), row.getString(7));
+        return row.getLong(8) == checksum(row.getLong(1), answer) ? Optional.of(answer) : Optional.empty();
+    }
+
+    private AnswerPage readPage(ReadPage request) {
+        try {
+            if (!openExisting()) {
+                return AnswerPage.NONE;
+            }
+            return selectPage(request);
+        } catch (SQLException | IOException e) {
+            onFailure(e);
+            return AnswerPage.NONE;
+        }
+    }
+
+    private AnswerPage selectPage(ReadPage request) throws SQLException {
+        List<Answer> answers = new ArrayList<>();
+        long sequence = request.afterSequence;
+        int rows = 0;
+        try (PreparedStatement selection = connection.prepareStatement(SELECT_PAGE)) {
+            selection.setLong(1, request.afterSequence);
+            selection.setString(2, request.otherHolder);
+            selection.setInt(3, request.limit);
+            try (ResultSet row = selection.executeQuery()) {
+                while (row.next()) {
+                    rows++;
+                    sequence = row.getLong(1);
+                    readRow(row).ifPresent(answers::add);
                 }
-                Answer answer = new Answer(registerId, claim, row.getLong(2), row.getLong(3), row.getString(4));
-                return row.getLong(5) == checksum(row.getLong(1), answer) ? Optional.of(answer) : Optional.empty();
             }
         }
+        return new AnswerPage(answers, sequence, rows == request.limit);
+    }
+
+    /** Opens the database if there is one; nothing is created to find nothing in it. */
+    private boolean openExisting() throws SQLException, IOException {
+        if (connection == null && !directory.contains(DATABASE)) {
+            return false;
+        }
+        openDatabase();
+        return true;
     }
 
     private void expire(int retainedPeriods) {
--- a/src/main/java/bramblespool/state/SqliteConnections.java
+++ b/src/main/java/bramblespool/state/SqliteConnections.java
@@ -6,7 +6,7 @@
 import java.sql.SQLException;
 import java.sql.Statement;
 
-/** Opens and creates SQLite databases in a directory so that a loss of power leaves all of them or nothing. Stateless. */
+/** Opens and creates SQLite databases so that a loss of power leaves all of one or nothing. Stateless. */
 final class SqliteConnections {
     /** Fills a database that is being created; it is synced afterwards. */
     interface Creation {
--- a/src/test/java/bramblespool/coordination/answer/AnswerLookupTest.java
+++ b/src/test/java/bramblespool/coordination/answer/AnswerLookupTest.java
@@ -17,8 +17,8 @@
     private final List<Optional<FoundAnswer>> results = new ArrayList<>();
 
     private static ObjectNode found() {
-        String response = AnswerCodec.encodeResponse(new StoredResponse(200, List.of(), new byte[] {9}));
-        return AnswerCodec.encodeFound(Optional.of(new Answer("1/r", "x", 7, 100, response)), 40);
+        String response = ResponseArchive.pack(new StoredResponse(200, List.of(), new byte[] {9}));
+        return AnswerCodec.encodeFound(Optional.of(new Answer("1/r", "x", 7, 100, response, "b")), 40);
     }
 
     private static ObjectNode none() {
--- a/src/test/java/bramblespool/coordination/answer/AnswerReplicaTest.java
+++ b/src/test/java/bramblespool/coordination/answer/AnswerReplicaTest.java
@@ -37,6 +37,16 @@
                     .findFirst());
         }
 
+        @Override
+        public void pageAnswers(String otherHolder, long afterSequence, int limit, Consumer<AnswerPage> onRead) {
+            List<Answer> rest = saved.stream()
+                    .skip(afterSequence)
+                    .filter(answer -> answer.otherHolders().equals(otherHolder))
+                    .toList();
+            List<Answer> page = rest.subList(0, Math.min(limit, rest.size()));
+            onRead.accept(new AnswerPage(page, afterSequence + page.size(), page.size() < rest.size()));
+        }
+
         @Override
         public void expireAnswers(int retainedPeriods) {
             expiryCalls++;
@@ -50,6 +60,7 @@
 
     private AnswerReplica replica(String... others) {
         return new AnswerReplica(
+                "self",
                 store,
                 clock,
                 new ClusterClock(clock),
@@ -59,8 +70,9 @@
     }
 
     private ObjectNode message(boolean isReplica, String claim) {
-        AnswerStore.Answer answer = new AnswerStore.Answer("1/r", claim, 7, clock.wallTimeMs() + 60_000, "{}");
-        return AnswerCodec.encodeKeep(new AnswerCodec.KeepRequest(isReplica, List.of(answer)), clock.wallTimeMs());
+        AnswerStore.Answer answer = new AnswerStore.Answer("1/r", claim, 7, clock.wallTimeMs() + 60_000, "{}", "");
+        return AnswerCodec.encodeKeep(
+                new AnswerCodec.KeepRequest(isReplica ? "sender" : "", List.of(answer)), clock.wallTimeMs());
     }
 
     @Test
@@ -73,7 +85,8 @@
         assertEquals(1, calls.size(), "one message for both");
         assertEquals("b", calls.get(0).address());
         AnswerCodec.KeepRequest copy = AnswerCodec.decodeKeep(calls.get(0).body(), clock.wallTimeMs());
-        assertEquals(true, copy.isReplica());
+        assertEquals("self", copy.otherHolders());
+        assertEquals("b", store.saved.get(0).otherHolders());
         assertEquals(2, copy.answers().size());
         store.callback.accept(true);
         assertEquals(List.of(), responses);
@@ -124,7 +137,7 @@
         AnswerReplica replica = replica();
         StoredResponse response = new StoredResponse(201, List.of("X-Server-Seal", "s"), new byte[] {1, 2});
         store.saved.add(
-                new AnswerStore.Answer("1/r", "x", 7, clock.wallTimeMs() + 500, AnswerCodec.encodeResponse(response)));
+                new AnswerStore.Answer("1/r", "x", 7, clock.wallTimeMs() + 500, ResponseArchive.pack(response), "b"));
         replica.handleFind(AnswerCodec.encodeFind("1/r", "x"), responses::add);
         FoundAnswer found = AnswerCodec.decodeFound(responses.get(0)).orElseThrow();
         assertEquals(7, found.fingerprint());
@@ -139,6 +152,46 @@
         assertEquals(Optional.empty(), AnswerCodec.decodeFound(responses.get(2)));
     }
 
+    /** Guards against 409 or 502 for answered keys (DENIED) once the disks of their copies were lost in turn. */
+    @Test
+    void controllerThatLostItsDiskReadsWhatItKeptFromTheOthers() {
+        for (int i = 0; i < 70; i++) {
+            store.saved.add(new AnswerStore.Answer("1/r", "x" + i, 7, clock.wallTimeMs() + 500, "{}", "lost"));
+        }
+        store.saved.add(new AnswerStore.Answer("1/r", "y", 7, clock.wallTimeMs() + 500, "{}", "other"));
+        AnswerReplica holder = replica();
+        FakeAnswerStore emptyStore = new FakeAnswerStore();
+        AnswerReplica restarted = new AnswerReplica(
+                "lost",
+                emptyStore,
+                clock,
+                new ClusterClock(clock),
+                transport,
+                () -> List.of("silent", "holder"),
+                new AnswerReplica.Options(1, 50, 300, 8000));
+        restarted.recover(1000);
+        int pages = 0;
+        for (List<Call> calls = transport.take(); pages < 3; calls = transport.take()) {
+            for (Call call : calls) {
+                if (call.address().equals("holder")) {
+                    holder.handleRecover(call.body(), call.callback()::accept);
+                    emptyStore.callback.accept(true);
+                    pages++;
+                } else {
+                    call.callback().accept(null);
+                }
+            }
+        }
+        assertEquals(70, emptyStore.saved.size());
+        assertEquals("holder", emptyStore.saved.get(69).otherHolders());
+        clock.advance(300);
+        List<Call> again = transport.take();
+        assertEquals(List.of("silent"), again.stream().map(Call::address).toList(), "who was silent is asked again");
+        again.get(0).callback().accept(AnswerCodec.encodePage(AnswerStore.AnswerPage.NONE, 0));
+        clock.advance(5000);
+        assertEquals(List.of(), transport.take());
+    }
+
     @Test
     void expiresInParts() {
         replica().start();
--- a/src/test/java/bramblespool/coordination/tenancy/AdmissionClientTest.java
+++ b/src/test/java/bramblespool/coordination/tenancy/AdmissionClientTest.java
@@ -59,7 +59,7 @@
         assertEquals(List.of(Verdict.ADMITTED, Verdict.ADMITTED, Verdict.CLAIMED_ELSEWHERE), verdicts);
     }
 
-    /** Guards against 503 while a shard has no owner: voters then grant tokens of their own, without a fencing token. */
+    /** Guards against 503 while a shard has no owner: voters grant tokens then, without a fencing token. */
     @Test
     void tokenOfAVoterCountsAfterTheOwnerIsGone() {
         admit(LIMITED, null).callback().accept(ownerResponse("b:1", 1_000_000));
--- a/src/test/java/bramblespool/model/KeyedClients.java
+++ b/src/test/java/bramblespool/model/KeyedClients.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Clients whose requests bear idempotency keys, and the servers behind the proxies: what runs, how often, and how
@@ -41,12 +42,14 @@
     private static final int IN_PROGRESS = 409;
     private static final int UNKNOWN_OUTCOME = 502;
 
+    private record GivenAnswer(String proxyPeer, long atMs) {}
+
     /** One execution at a server. */
     private static final class Run {
         final long sentMs;
         final String body;
-        String proxyPeer;
-        long answeredMs = -1;
+        /** The proxies that have given its answer, and when. */
+        final List<GivenAnswer> answers = new ArrayList<>();
 
         Run(long sentMs, String body) {
             this.sentMs = sentMs;
@@ -111,7 +114,6 @@
                 return;
             }
             Run run = recordRun(key, sentMs);
-            run.proxyPeer = machine.peer;
             machine.schedule(RUN_MS, () -> finish(run, operation));
         }
 
@@ -120,7 +122,7 @@
                 proxy.idempotencyTable.markUnknown(operation);
                 return;
             }
-            run.answeredMs = mesh.simulator.nowMs();
+            run.answers.add(new GivenAnswer(machine.peer, mesh.simulator.nowMs()));
             proxy.idempotencyTable.recordResponse(
                     operation,
                     new StoredResponse(200, List.of("X-Server-Seal", "s"), run.body.getBytes(StandardCharsets.UTF_8)));
@@ -136,7 +138,7 @@
         @Override
         public void replay(StoredResponse response) {
             replayCount++;
-            checkReplayed(key, sentMs, new String(response.body(), StandardCharsets.UTF_8));
+            checkReplayed(machine.peer, key, sentMs, new String(response.body(), StandardCharsets.UTF_8));
         }
     }
 
@@ -156,13 +158,14 @@
     }
 
     /** A repeat that begins after a run was answered gets that run's answer, not an earlier one's. */
-    private void checkReplayed(int key, long sentMs, String body) {
+    private void checkReplayed(String peer, int key, long sentMs, String body) {
         List<Run> runs = runsByKey.getOrDefault(key, List.of());
-        boolean isKnown = runs.stream().anyMatch(run -> run.body.equals(body));
+        Optional<Run> known = runs.stream().filter(run -> run.body.equals(body)).findFirst();
+        known.ifPresent(run -> run.answers.add(new GivenAnswer(peer, mesh.simulator.nowMs())));
         Run last = lastAnsweredBefore(key, sentMs);
         boolean isOlder =
                 last != null && runs.stream().takeWhile(run -> run != last).anyMatch(run -> run.body.equals(body));
-        if (!isKnown || isOlder) {
+        if (known.isEmpty() || isOlder) {
             throw new InvariantViolation("RepeatsGetTheAnswer", "key " + key + " is answered with " + body);
         }
     }
@@ -173,18 +176,24 @@
         if (last == null || sentMs >= last.sentMs + KEY_WINDOW_MS) {
             return;
         }
-        boolean isOutcomeOwed = schedule.isQuiet(last.answeredMs - startMs, last.answeredMs + ANSWER_GRACE_MS - startMs)
-                && !isDisturbed(last.proxyPeer, last.answeredMs, last.answeredMs + ANSWER_GRACE_MS);
         boolean isAskedInTouch = schedule.isQuiet(sentMs - startMs, mesh.simulator.nowMs() - startMs)
                 && !isDisturbed(peer, sentMs, mesh.simulator.nowMs());
-        if (isOutcomeOwed && isAskedInTouch) {
-            throw new InvariantViolation(
-                    "AnsweredKeysAreAnswered",
-                    "key " + key + ", answered at " + (last.answeredMs - startMs) + " by " + last.proxyPeer
-                            + ", is refused at " + (sentMs - startMs) + " by " + peer + ": " + reason);
+        for (GivenAnswer answer : last.answers) {
+            if (isAskedInTouch && answer.atMs < sentMs - IN_PROGRESS_GRACE_MS && isOwedSince(answer)) {
+                throw new InvariantViolation(
+                        "AnsweredKeysAreAnswered",
+                        "key " + key + ", answered at " + (answer.atMs - startMs) + " by " + answer.proxyPeer
+                                + ", is refused at " + (sentMs - startMs) + " by " + peer + ": " + reason);
+            }
         }
     }
 
+    /** Whether the proxy that gave an answer was in touch then and for long enough after it. */
+    private boolean isOwedSince(GivenAnswer answer) {
+        return schedule.isQuiet(answer.atMs - startMs, answer.atMs + ANSWER_GRACE_MS - startMs)
+                && !isDisturbed(answer.proxyPeer, answer.atMs, answer.atMs + ANSWER_GRACE_MS);
+    }
+
     private boolean isDisturbed(String peer, long fromMs, long untilMs) {
         for (ScheduleStep step : schedule.steps()) {
             boolean isItsOwn =
@@ -201,7 +210,7 @@
     private Run lastAnsweredBefore(int key, long atMs) {
         Run last = null;
         for (Run run : runsByKey.getOrDefault(key, List.of())) {
-            if (run.answeredMs >= 0 && run.answeredMs < atMs) {
+            if (!run.answers.isEmpty() && run.answers.get(0).atMs < atMs) {
                 last = run;
             }
         }
--- a/src/test/java/bramblespool/model/KeyedOperationsTest.java
+++ b/src/test/java/bramblespool/model/KeyedOperationsTest.java
@@ -35,8 +35,8 @@
     }
 
     /**
-     * Guards against a second run 2 s after the first (TWICE): a restarted voter kept an old copy of the reservation for
-     * longer than the others, and its number was above that of the next one.
+     * Guards against a second run 2 s after the first (TWICE): a restarted voter kept an old copy of the reservation
+     * for longer than the others, and its number was above that of the next one.
      */
     @ParameterizedTest
     @CsvSource({"1,2", "1,3", "2,1", "2,3", "3,1", "3,2"})
@@ -51,8 +51,8 @@
     }
 
     /**
-     * Guards against a second run (TWICE) after the voters have changed: the new preferred proposer, which had missed the
-     * reservation, reserved the key without a prepare phase at itself only, and took that for the newest.
+     * Guards against a second run (TWICE) after the voters have changed: the new preferred proposer, which had missed
+     * the reservation, reserved the key without a prepare phase at itself only, and took that for the newest.
      */
     @Test
     void reservationUnderFormerVotersIsNotReplacedByAnUnpreparedOne() {
@@ -93,6 +93,16 @@
                 "50000 0 " + ANSWERED)));
     }
 
+    /**
+     * Guards against 502 for answered keys: the proxy that executed the operation ends before anybody has a copy, and
+     * another one, which has given the answer as well, is in touch.
+     */
+    @Test
+    void answerGivenByAnotherProxyOutlivesTheOneThatExecuted() {
+        assertNull(ScheduleRunner.runSchedule(schedule(
+                "5240 WEFT_KILLED - 1000 0", 40, "5000 0 " + ANSWERED, "5140 1 " + ANSWERED, "12000 2 " + ANSWERED)));
+    }
+
     /** Two tries of an answered key at one proxy at the same time get the answer, not 409 for each other. */
     @Test
     void repeatThatFindsAnotherOneUnderWayWaitsForItsOutcome() {
@@ -103,7 +113,7 @@
                 25401 TRY 3 0 22""")));
     }
 
-    /** Known to fail: a copy that is lost with its disk is not made again, so two disks in turn lose an answer. */
+    /** Guards against 502 for answered keys once their proxy and then, in turn, both disks with copies were lost. */
     @Test
     void answerSurvivesTheLossOfItsDisksInTurn() {
         assertNull(ScheduleRunner.runSchedule(Schedule.parse("""
--- a/src/test/java/bramblespool/model/Mutants.java
+++ b/src/test/java/bramblespool/model/Mutants.java
@@ -252,6 +252,11 @@
             Mutant.of("an answer is acknowledged with one copy", KEYED)
                     .replacing(ANSWER_REPLICA, "missingCopies = furtherCopies + 1;", "missingCopies = 1;")
                     .replacing(ANSWER_REPLICA, "i < furtherCopies", "i < 0"),
+            Mutant.of("an answer given for another proxy has no copies", KEYED)
+                    .replacing(
+                            IDEMPOTENCY_TABLE,
+                            "if (validityMs - remainingMs < validityMs / RECENT_DIVISOR) {",
+                            "if (false) {"),
             Mutant.of("a copied answer outlives its key", KEYED)
                     .replacing(
                             IDEMPOTENCY_TABLE,
--- a/src/test/java/bramblespool/model/MutantsTest.java
+++ b/src/test/java/bramblespool/model/MutantsTest.java
@@ -17,7 +17,7 @@
 /** The mutants fit the sources as they are now; whether the model sees them is for {@link MutantSearch}. */
 class MutantsTest {
     /** A mutant is added here and not dropped. */
-    private static final int MUTANT_COUNT = 46;
+    private static final int MUTANT_COUNT = 47;
 
     static Stream<Mutant> mutants() {
         return Mutants.all().stream();
--- a/src/test/java/bramblespool/model/ScheduleGenerator.java
+++ b/src/test/java/bramblespool/model/ScheduleGenerator.java
@@ -25,7 +25,7 @@
         /** All go at once, again and again, in the midst of elections. */
         STORM,
         MIX,
-        /** A leader stands still with its candidate stored, a rival of the same number is committed, and it leads again. */
+        /** A leader stands still with a candidate, a rival of the same number is committed, and it leads again. */
         LEADS_AGAIN,
         /** Requests with idempotency keys, repeated inside and outside their window while processes end and return. */
         KEYED
--- a/src/test/java/bramblespool/state/SqliteAnswerStoreTest.java
+++ b/src/test/java/bramblespool/state/SqliteAnswerStoreTest.java
@@ -17,8 +17,8 @@
 
 class SqliteAnswerStoreTest {
     private static final long WAIT_S = 20;
-    private static final Answer FIRST = new Answer("1/r", "peer life 1", -7, 123_456, "{\"code\":200}");
-    private static final Answer SECOND = new Answer("1/r", "peer life 2", 8, 123_457, "ä");
+    private static final Answer FIRST = new Answer("1/r", "peer life 1", -7, 123_456, "{\"code\":200}", "a:1 b:1");
+    private static final Answer SECOND = new Answer("1/r", "peer life 2", 8, 123_457, "ä", "b:1");
 
     @TempDir
     Path dir;
@@ -53,7 +53,7 @@
         store.close();
         SqliteAnswerStore reopened = open();
         assertEquals(Optional.of(SECOND), find(reopened, SECOND));
-        assertTrue(save(reopened, new Answer("1/s", "c", 1, 2, "x")), "numbers go on");
+        assertTrue(save(reopened, new Answer("1/s", "c", 1, 2, "x", "")), "numbers go on");
         assertEquals(Optional.of(FIRST), find(reopened, FIRST));
         reopened.close();
     }
@@ -69,6 +69,26 @@
         }
     }
 
+    private static AnswerStore.AnswerPage page(AnswerStore store, String holder, long after, int limit)
+            throws InterruptedException {
+        BlockingQueue<AnswerStore.AnswerPage> results = new ArrayBlockingQueue<>(1);
+        store.pageAnswers(holder, after, limit, results::add);
+        return await(results);
+    }
+
+    @Test
+    void pagesAreOfOneHolder() throws Exception {
+        SqliteAnswerStore store = open();
+        assertEquals(AnswerStore.AnswerPage.NONE, page(store, "b:1", 0, 1));
+        assertTrue(save(store, FIRST, SECOND));
+        assertEquals(new AnswerStore.AnswerPage(List.of(FIRST), 1, true), page(store, "b:1", 0, 1));
+        assertEquals(new AnswerStore.AnswerPage(List.of(SECOND), 2, true), page(store, "b:1", 1, 1));
+        assertEquals(new AnswerStore.AnswerPage(List.of(), 2, false), page(store, "b:1", 2, 1));
+        assertEquals(List.of(FIRST), page(store, "a:1", 0, 9).answers());
+        assertEquals(List.of(), page(store, "a", 0, 9).answers());
+        store.close();
+    }
+
     @Test
     void answersExpireAfterSoManyPeriods() throws Exception {
         SqliteAnswerStore store = open();
--- a/src/test/java/bramblespool/state/SqliteDurableStoreDamageTest.java
+++ b/src/test/java/bramblespool/state/SqliteDurableStoreDamageTest.java
@@ -246,7 +246,13 @@
         for (String wanted : List.of(RaftNode.FOUNDER_INCARNATION, RaftNode.FOUNDER_INCARNATION, "fresh")) {
             SqliteDurableStore store = openStore(new SyncedDirectory(dir), log);
             ControllerNode core = new ControllerNode(
-                    settings, store, machine.disk, "fresh", machine, machine, null, EventLog.silent());
+                    settings,
+                    new ControllerNode.Stores(store, machine.disk),
+                    "fresh",
+                    machine,
+                    machine,
+                    null,
+                    EventLog.silent());
             assertTrue(core.raft().localId().endsWith("#" + wanted), core.raft().localId());
             store.close();
             if (logOutput.toString(StandardCharsets.UTF_8).contains("again")) {
--- a/src/test/java/bramblespool/testing/SimulatedDisk.java
+++ b/src/test/java/bramblespool/testing/SimulatedDisk.java
@@ -4,7 +4,6 @@
 import bramblespool.state.DurableStore;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +25,7 @@
     private PersistentState held;
     private final Map<String, StoredRegister> registers = new LinkedHashMap<>();
     /** By register and claim. */
-    private final Map<String, Answer> answers = new HashMap<>();
+    private final Map<String, Answer> answers = new LinkedHashMap<>();
 
     private final ArrayDeque<PendingWrite> pendingWrites = new ArrayDeque<>();
     private long pendingSinceMs = -1;
@@ -123,6 +122,24 @@
         machine.schedule(1, () -> callback.accept(Optional.ofNullable(answers.get(registerId + " " + claim))));
     }
 
+    @Override
+    public void pageAnswers(String otherHolder, long afterSequence, int limit, Consumer<AnswerPage> callback) {
+        List<Answer> page = new ArrayList<>();
+        long sequence = 0;
+        for (Answer answer : answers.values()) {
+            sequence++;
+            boolean isHeld = List.of(answer.otherHolders().split(" ")).contains(otherHolder);
+            if (sequence > afterSequence && isHeld) {
+                page.add(answer);
+                if (page.size() == limit) {
+                    break;
+                }
+            }
+        }
+        AnswerPage result = new AnswerPage(page, sequence, page.size() == limit);
+        machine.schedule(1, () -> callback.accept(result));
+    }
+
     @Override
     public void expireAnswers(int retainedPeriods) {}
 
--- a/src/test/java/bramblespool/testing/SimulatedMesh.java
+++ b/src/test/java/bramblespool/testing/SimulatedMesh.java
@@ -196,8 +196,7 @@
         machine.boot();
         ControllerNode controller = new ControllerNode(
                 settings(peer, seedAddresses, isBootstrap),
-                durableStore,
-                machine.disk,
+                new ControllerNode.Stores(durableStore, machine.disk),
                 "i" + ++incarnationCount,
                 machine,
                 machine,
