SqliteAnswerStore: saves and expiries keep their order

Tasks that waited together were done with all saves first, so an expiry could count answers that came after it and remove them a period early.

--- a/src/main/java/bramblespool/state/SqliteAnswerStore.java
+++ b/src/main/java/bramblespool/state/SqliteAnswerStore.java
@@ -131,25 +131,30 @@
                 LockSupport.park(this);
                 continue;
             }
-            List<Save> saves = new ArrayList<>();
-            List<Task> others = new ArrayList<>();
-            while (task != null) {
-                if (task instanceof Save save) {
-                    saves.add(save);
-                } else {
-                    others.add(task);
-                }
-                task = tasks.poll();
-            }
-            if (!saves.isEmpty()) {
+            handleAll(task);
+        }
+        closeDatabase();
+    }
+
+    /** Handles a task and all that wait behind it, in their order; saves that follow each other are one transaction. */
+    private void handleAll(Task first) {
+        List<Save> saves = new ArrayList<>();
+        for (Task task = first; task != null; task = tasks.poll()) {
+            if (task instanceof Save save) {
+                saves.add(save);
+            } else {
                 saveAll(saves);
+                saves = new ArrayList<>();
+                handle(task);
             }
-            others.forEach(this::handle);
         }
-        closeDatabase();
+        saveAll(saves);
     }
 
     private void saveAll(List<Save> saves) {
+        if (saves.isEmpty()) {
+            return;
+        }
         boolean isSaved;
         try {
             openDatabase();
