--- a/src/test/java/bramblespool/model/ScheduleGenerator.java
+++ b/src/test/java/bramblespool/model/ScheduleGenerator.java
@@ -430,6 +430,10 @@
     }
 
     private void drawKeyed() {
+        if (random.nextInt(3) == 0) {
+            drawReuseAfterRestarts();
+            return;
+        }
         int keys = 6 + random.nextInt(10);
         for (int key = 0; key < keys; key++) {
             drawKey(key);
@@ -460,6 +464,23 @@
         }
     }
 
+    /** Keys that are used again behind their retention, and repeated, while voters are restarted one after the other. */
+    private void drawReuseAfterRestarts() {
+        int retentionMs = 78_000 + random.nextInt(2000);
+        long reuseMs = Schedule.CATCH_UP_MS + retentionMs + 3000;
+        for (int key = 0; key < 12; key++) {
+            long atMs = Schedule.CATCH_UP_MS + random.nextInt(500);
+            addTry(atMs, 0, key, ServerOutcome.REFUSED);
+            addTry(atMs + 2500, 1, key, drawOutcome());
+            addTry(reuseMs + random.nextInt(500), 2, key, drawOutcome());
+            addTry(reuseMs + 2000 + random.nextInt(1000), 3, key, drawOutcome());
+        }
+        long firstMs = Schedule.CATCH_UP_MS + 4000 + random.nextInt(50_000);
+        addFault(firstMs, Kind.KILL, String.valueOf(1 + random.nextInt(controllers)), 300 + random.nextInt(3000));
+        long secondMs = reuseMs + 600 + random.nextInt(1500);
+        addFault(secondMs, Kind.KILL, String.valueOf(1 + random.nextInt(controllers)), 300 + random.nextInt(3000));
+    }
+
     /** One key: a first try, which may be refused, a second one, and repeats about the end of its window. */
     private void drawKey(int key) {
         long atMs = Schedule.CATCH_UP_MS + random.nextInt(6000);
--- a/src/test/java/bramblespool/soak/SoakKeyedTraffic.java
+++ b/src/test/java/bramblespool/soak/SoakKeyedTraffic.java
@@ -17,7 +17,7 @@
  * Clients whose requests bear idempotency keys: new ones, and again and again those that they have sent before, at any
  * sidecar. They keep their connections and use them until the process is gone.
  */
-final class SoakKeyedTraffic {
+final class SoakKeyedTraffic extends SoakClients {
     /**
      * A request as its client saw it.
      *
@@ -36,10 +36,9 @@
     private final Queue<Request> requests = new ConcurrentLinkedQueue<>();
     private final List<String> keys = new ArrayList<>();
     private final AtomicInteger nextId = new AtomicInteger();
-    private final List<Thread> threads = new ArrayList<>();
-    private volatile boolean isOver;
 
     SoakKeyedTraffic(SoakMesh mesh) {
+        super(CLIENTS);
         this.mesh = mesh;
     }
 
@@ -47,25 +46,10 @@
         return requests;
     }
 
-    void start(long seed) {
-        for (int i = 0; i < CLIENTS; i++) {
-            Random random = new Random(seed * CLIENTS + i + 1_000_000);
-            Thread thread = new Thread(() -> run(random));
-            threads.add(thread);
-            thread.start();
-        }
-    }
-
-    void stop() throws InterruptedException {
-        isOver = true;
-        for (Thread thread : threads) {
-            thread.join();
-        }
-    }
-
-    private void run(Random random) {
+    @Override
+    void run(Random random) {
         Map<Integer, Socket> connections = new HashMap<>();
-        while (!isOver) {
+        while (!isOver()) {
             int sidecar = random.nextInt(SoakMesh.SIDECARS);
             if (mesh.sidecars.get(sidecar).isRunning()) {
                 requests.add(send(drawKey(random), sidecar, connections));
--- a/src/test/java/bramblespool/soak/SoakTraffic.java
+++ b/src/test/java/bramblespool/soak/SoakTraffic.java
@@ -4,15 +4,13 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Clients that send requests through the sidecars, each on connections of its own; some leave before the answer. */
-final class SoakTraffic {
+final class SoakTraffic extends SoakClients {
     /** How a request ended for its client. */
     enum End {
         ANSWERED,
@@ -43,10 +41,9 @@
     private final SoakMesh mesh;
     private final Queue<Request> requests = new ConcurrentLinkedQueue<>();
     private final AtomicInteger nextId = new AtomicInteger();
-    private final List<Thread> threads = new ArrayList<>();
-    private volatile boolean isOver;
 
     SoakTraffic(SoakMesh mesh) {
+        super(CLIENTS);
         this.mesh = mesh;
     }
 
@@ -54,24 +51,9 @@
         return requests;
     }
 
-    void start(long seed) {
-        for (int i = 0; i < CLIENTS; i++) {
-            Random random = new Random(seed * CLIENTS + i);
-            Thread thread = new Thread(() -> run(random));
-            threads.add(thread);
-            thread.start();
-        }
-    }
-
-    void stop() throws InterruptedException {
-        isOver = true;
-        for (Thread thread : threads) {
-            thread.join();
-        }
-    }
-
-    private void run(Random random) {
-        while (!isOver) {
+    @Override
+    void run(Random random) {
+        while (!isOver()) {
             int sidecar = random.nextInt(SoakMesh.SIDECARS);
             if (mesh.sidecars.get(sidecar).isRunning()) {
                 requests.add(send(random, sidecar));
