--- a/src/main/java/bramblespool/coordination/answer/AnswerReplica.java
+++ b/src/main/java/bramblespool/coordination/answer/AnswerReplica.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -48,6 +49,7 @@
     private final ClusterClock clusterClock;
     private final PeerTransport transport;
     private final Supplier<List<String>> otherControllers;
+    private final BooleanSupplier isOverloaded;
     private final Options options;
     /** The batch that is being gathered; null between two. */
     private Batch openBatch;
@@ -55,6 +57,7 @@
     /**
      * @param self this controller's peer address
      * @param otherControllers the other controllers' peer addresses, those first that are to keep copies
+     * @param isOverloaded whether this controller is too busy for what can wait
      */
     public AnswerReplica(
             String self,
@@ -63,6 +66,7 @@
             ClusterClock clusterClock,
             PeerTransport transport,
             Supplier<List<String>> otherControllers,
+            BooleanSupplier isOverloaded,
             Options options) {
         this.self = self;
         this.store = store;
@@ -70,6 +74,7 @@
         this.clusterClock = clusterClock;
         this.transport = transport;
         this.otherControllers = otherControllers;
+        this.isOverloaded = isOverloaded;
         this.options = options;
     }
 
@@ -81,6 +86,11 @@
 
     /** Keeps answers; the response comes once all their copies are durable, and none where that fails. */
     public void handleKeep(JsonNode message, Consumer<ObjectNode> callback) {
+        if (isOverloaded.getAsBoolean()) {
+            // Whoever sends them has them still, and comes again.
+            callback.accept(null);
+            return;
+        }
         AnswerCodec.KeepRequest request = AnswerCodec.decodeKeep(message, clusterClock.now());
         Consumer<Boolean> onKept = isKept -> callback.accept(isKept ? AnswerCodec.encodeKept() : null);
         if (request.isReplica()) {
--- a/src/main/java/bramblespool/coordination/answer/AnswerReplicator.java
+++ b/src/main/java/bramblespool/coordination/answer/AnswerReplicator.java
@@ -5,9 +5,7 @@
 import bramblespool.transport.PeerTransport;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Supplier;
 
 /**
@@ -21,14 +19,16 @@
      *
      * @param gatherMs how long answers are gathered for one message
      * @param callTimeoutMs how long a controller is waited for
-     * @param exclusionMs how long one that did not take a message is avoided
+     * @param firstBackoffMs the pause after a message that was not taken; it doubles with each further one
      */
-    public record Timings(long gatherMs, long callTimeoutMs, long exclusionMs) {}
+    public record Timings(long gatherMs, long callTimeoutMs, long firstBackoffMs) {}
 
     /** Which controllers will keep an answer is for them to say. */
     private static final String NO_HOLDERS = "";
-    /** A message is closed once its answers have this size: little enough for a narrow link and a slow disk. */
-    private static final int MAX_MESSAGE_BYTES = 64 << 10;
+    /** A message is closed once its answers have this size: little enough for a narrow link and a busy controller. */
+    private static final int MAX_MESSAGE_BYTES = 16 << 10;
+    /** The pause doubles so many times at most: answers that can't be copied now must not make a bad time worse. */
+    private static final int MAX_DOUBLINGS = 4;
 
     private final Clock clock;
     private final PeerTransport transport;
@@ -38,7 +38,7 @@
     /** What no controller has taken yet, the oldest first. */
     private final ArrayDeque<ExecutedOperation> pending = new ArrayDeque<>();
 
-    private final Map<String, Long> excludedUntilMs = new HashMap<>();
+    private int failuresInARow;
     private long pendingBytes;
     private boolean isScheduled;
     private boolean isSending;
@@ -101,14 +101,16 @@
 
     private void send() {
         dropExpired();
-        String controller = nextController();
+        List<String> candidates = controllers.get();
         if (isSending || pending.isEmpty()) {
             return;
         }
-        if (controller == null) {
+        if (candidates.isEmpty()) {
             schedule(timings.callTimeoutMs);
             return;
         }
+        // The best one, and after each failure the next one.
+        String controller = candidates.get(failuresInARow % candidates.size());
         List<ExecutedOperation> batch = nextBatch();
         List<Answer> answers = new ArrayList<>(batch.size());
         for (ExecutedOperation operation : batch) {
@@ -126,12 +128,13 @@
                 AnswerCodec.KEEP_KIND,
                 AnswerCodec.encodeKeep(new AnswerCodec.KeepRequest(NO_HOLDERS, answers), clock.nowMs()),
                 timings.callTimeoutMs,
-                response -> onResponse(controller, batch, response != null));
+                response -> onResponse(batch, response != null));
     }
 
-    private void onResponse(String controller, List<ExecutedOperation> batch, boolean isKept) {
+    private void onResponse(List<ExecutedOperation> batch, boolean isKept) {
         isSending = false;
         if (isKept) {
+            failuresInARow = 0;
             for (ExecutedOperation operation : batch) {
                 // What was dropped meanwhile is not there any more.
                 if (operation.equals(pending.peek())) {
@@ -139,9 +142,20 @@
                 }
             }
         } else {
-            excludedUntilMs.put(controller, clock.nowMs() + timings.exclusionMs);
+            failuresInARow++;
         }
-        schedule(isHurried || !isKept ? 0 : timings.gatherMs);
+        schedule(isKept ? pauseMs() : backoffMs());
+    }
+
+    /** Until the next message: none where so much waits that it fills one. */
+    private long pauseMs() {
+        return isHurried || pendingBytes >= MAX_MESSAGE_BYTES ? 0 : timings.gatherMs;
+    }
+
+    private long backoffMs() {
+        return isHurried
+                ? timings.firstBackoffMs
+                : timings.firstBackoffMs << Math.min(failuresInARow - 1, MAX_DOUBLINGS);
     }
 
     private void dropExpired() {
@@ -163,14 +177,4 @@
         }
         return batch;
     }
-
-    /** The best controller that has not failed of late; null where there is none. */
-    private String nextController() {
-        for (String controller : controllers.get()) {
-            if (excludedUntilMs.getOrDefault(controller, 0L) <= clock.nowMs()) {
-                return controller;
-            }
-        }
-        return null;
-    }
 }
--- a/src/main/java/bramblespool/coordination/controller/ControllerNode.java
+++ b/src/main/java/bramblespool/coordination/controller/ControllerNode.java
@@ -149,6 +149,7 @@
                 member.clusterClock(),
                 context.transport(),
                 zoneGossip::otherControllersByPreference,
+                overloadDetector::isOverloaded,
                 new AnswerReplica.Options(
                         settings.tolerableMachineLosses(),
                         settings.bounds().quietPeriodMs() / ANSWER_GATHER_DIVISOR,
--- a/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
+++ b/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
@@ -68,8 +68,6 @@
 
     /** Answers are gathered for {@code quiet} divided by this before they are handed to a controller. */
     private static final int ANSWER_GATHER_DIVISOR = 5;
-    /** A controller, which waits for another one itself, is waited for for {@code quiet} divided by this. */
-    private static final int ANSWER_TIMEOUT_DIVISOR = 3;
     /** Stored responses of idempotency keys take at most the machine's memory divided by this. */
     private static final int RESPONSE_CACHE_DIVISOR = 24;
 
@@ -191,9 +189,7 @@
                 transport,
                 this::answerControllers,
                 new AnswerReplicator.Timings(
-                        bounds.quietPeriodMs() / ANSWER_GATHER_DIVISOR,
-                        bounds.quietPeriodMs() / ANSWER_TIMEOUT_DIVISOR,
-                        callTimeoutMs),
+                        bounds.quietPeriodMs() / ANSWER_GATHER_DIVISOR, bounds.quietPeriodMs(), callTimeoutMs),
                 responseCacheBytes(settings));
         idempotencyTable.onExecuted(answerReplicator::add);
         this.admissionClient = new AdmissionClient(
--- a/src/test/java/bramblespool/coordination/answer/AnswerReplicaTest.java
+++ b/src/test/java/bramblespool/coordination/answer/AnswerReplicaTest.java
@@ -58,6 +58,8 @@
     private final FakeAnswerStore store = new FakeAnswerStore();
     private final List<ObjectNode> responses = new ArrayList<>();
 
+    private boolean isOverloaded;
+
     private AnswerReplica replica(String... others) {
         return new AnswerReplica(
                 "self",
@@ -66,6 +68,7 @@
                 new ClusterClock(clock),
                 transport,
                 () -> List.of(others),
+                () -> isOverloaded,
                 new AnswerReplica.Options(1, 50, 300, 8000));
     }
 
@@ -119,6 +122,16 @@
         assertEquals(1, responses.size());
     }
 
+    @Test
+    void busyControllerTakesNothing() {
+        isOverloaded = true;
+        replica("b").handleKeep(message(false, "x"), responses::add);
+        clock.advance(1000);
+        assertEquals(1, responses.size());
+        assertNull(responses.get(0));
+        assertEquals(List.of(), store.saved);
+    }
+
     @Test
     void copiesGoNoFurtherAndALoneControllerKeepsItsOwn() {
         replica("b").handleKeep(message(true, "x"), responses::add);
@@ -168,6 +181,7 @@
                 new ClusterClock(clock),
                 transport,
                 () -> List.of("silent", "holder"),
+                () -> false,
                 new AnswerReplica.Options(1, 50, 300, 8000));
         restarted.recover(1000);
         int pages = 0;
