--- a/src/main/java/bramblespool/coordination/answer/AnswerReplica.java
+++ b/src/main/java/bramblespool/coordination/answer/AnswerReplica.java
@@ -27,6 +27,14 @@
     /** Answers in one message to a controller that has lost its disk. */
     private static final int RECOVERY_PAGE_SIZE = 32;
 
+    /**
+     * Peer addresses of controllers.
+     *
+     * @param self this controller's
+     * @param others all others', those first that are to keep copies
+     */
+    public record Controllers(String self, Supplier<List<String>> others) {}
+
     /**
      * How it is to act.
      *
@@ -43,37 +51,32 @@
         private final List<Consumer<Boolean>> callbacks = new ArrayList<>();
     }
 
-    private final String self;
+    private final Controllers controllers;
     private final AnswerStore store;
     private final Clock clock;
     private final ClusterClock clusterClock;
     private final PeerTransport transport;
-    private final Supplier<List<String>> otherControllers;
     private final BooleanSupplier isOverloaded;
     private final Options options;
     /** The batch that is being gathered; null between two. */
     private Batch openBatch;
 
     /**
-     * @param self this controller's peer address
-     * @param otherControllers the other controllers' peer addresses, those first that are to keep copies
      * @param isOverloaded whether this controller is too busy for what can wait
      */
     public AnswerReplica(
-            String self,
+            Controllers controllers,
             AnswerStore store,
             Clock clock,
             ClusterClock clusterClock,
             PeerTransport transport,
-            Supplier<List<String>> otherControllers,
             BooleanSupplier isOverloaded,
             Options options) {
-        this.self = self;
+        this.controllers = controllers;
         this.store = store;
         this.clock = clock;
         this.clusterClock = clusterClock;
         this.transport = transport;
-        this.otherControllers = otherControllers;
         this.isOverloaded = isOverloaded;
         this.options = options;
     }
@@ -147,7 +150,7 @@
         }
 
         void askAll() {
-            for (String controller : otherControllers.get()) {
+            for (String controller : controllers.others.get()) {
                 if (asked.add(controller)) {
                     requestPage(controller, 0);
                 }
@@ -161,7 +164,7 @@
             transport.call(
                     controller,
                     AnswerCodec.RECOVER_KIND,
-                    AnswerCodec.encodeRecover(new AnswerCodec.RecoverRequest(self, afterSequence)),
+                    AnswerCodec.encodeRecover(new AnswerCodec.RecoverRequest(controllers.self, afterSequence)),
                     options.callTimeoutMs,
                     response -> {
                         if (response == null) {
@@ -188,7 +191,7 @@
     /** Has one batch kept here and elsewhere; a controller that does not take it is passed over for the next one. */
     private final class Replication {
         private final Batch batch;
-        private final List<String> candidates = new ArrayList<>(otherControllers.get());
+        private final List<String> candidates = new ArrayList<>(controllers.others.get());
         /** Copies that are not yet durable, the own one among them. */
         private int missingCopies;
 
@@ -222,7 +225,7 @@
                 onCopy(false);
                 return;
             }
-            AnswerCodec.KeepRequest request = new AnswerCodec.KeepRequest(self, batch.answers);
+            AnswerCodec.KeepRequest request = new AnswerCodec.KeepRequest(controllers.self, batch.answers);
             transport.call(
                     candidates.remove(0),
                     AnswerCodec.KEEP_KIND,
--- a/src/main/java/bramblespool/coordination/controller/ControllerNode.java
+++ b/src/main/java/bramblespool/coordination/controller/ControllerNode.java
@@ -143,12 +143,11 @@
     private AnswerReplica newAnswerReplica(ControllerContext context, AnswerStore answerStore) {
         Settings settings = local.settings();
         return new AnswerReplica(
-                local.peerAddress(),
+                new AnswerReplica.Controllers(local.peerAddress(), zoneGossip::otherControllersByPreference),
                 answerStore,
                 clock,
                 member.clusterClock(),
                 context.transport(),
-                zoneGossip::otherControllersByPreference,
                 overloadDetector::isOverloaded,
                 new AnswerReplica.Options(
                         settings.tolerableMachineLosses(),
--- a/src/test/java/bramblespool/coordination/answer/AnswerReplicaTest.java
+++ b/src/test/java/bramblespool/coordination/answer/AnswerReplicaTest.java
@@ -62,12 +62,11 @@
 
     private AnswerReplica replica(String... others) {
         return new AnswerReplica(
-                "self",
+                new AnswerReplica.Controllers("self", () -> List.of(others)),
                 store,
                 clock,
                 new ClusterClock(clock),
                 transport,
-                () -> List.of(others),
                 () -> isOverloaded,
                 new AnswerReplica.Options(1, 50, 300, 8000));
     }
@@ -175,12 +174,11 @@
         AnswerReplica holder = replica();
         FakeAnswerStore emptyStore = new FakeAnswerStore();
         AnswerReplica restarted = new AnswerReplica(
-                "lost",
+                new AnswerReplica.Controllers("lost", () -> List.of("silent", "holder")),
                 emptyStore,
                 clock,
                 new ClusterClock(clock),
                 transport,
-                () -> List.of("silent", "holder"),
                 () -> false,
                 new AnswerReplica.Options(1, 50, 300, 8000));
         restarted.recover(1000);
--- a/src/test/java/bramblespool/model/ScheduleGenerator.java
+++ b/src/test/java/bramblespool/model/ScheduleGenerator.java
@@ -464,7 +464,7 @@
         }
     }
 
-    /** Keys that are used again behind their retention, and repeated, while voters are restarted one after the other. */
+    /** Keys that are used again behind their retention, and repeated, while voters are restarted in turn. */
     private void drawReuseAfterRestarts() {
         int retentionMs = 78_000 + random.nextInt(2000);
         long reuseMs = Schedule.CATCH_UP_MS + retentionMs + 3000;
