--- a/src/main/java/bramblespool/coordination/answer/AnswerReplicator.java
+++ b/src/main/java/bramblespool/coordination/answer/AnswerReplicator.java
@@ -20,13 +20,14 @@
      * @param gatherMs how long answers are gathered for one message
      * @param callTimeoutMs how long a controller is waited for
      * @param firstBackoffMs the pause after a message that was not taken; it doubles with each further one
+     * @param bytesPerMs how much may be sent in the long run, so that requests find the link free; 0 for any amount
      */
-    public record Timings(long gatherMs, long callTimeoutMs, long firstBackoffMs) {}
+    public record Timings(long gatherMs, long callTimeoutMs, long firstBackoffMs, double bytesPerMs) {}
 
     /** Which controllers will keep an answer is for them to say. */
     private static final String NO_HOLDERS = "";
     /** A message is closed once its answers have this size: little enough for a narrow link and a busy controller. */
-    private static final int MAX_MESSAGE_BYTES = 16 << 10;
+    private static final int MAX_MESSAGE_BYTES = 8 << 10;
     /** The pause doubles so many times at most: answers that can't be copied now must not make a bad time worse. */
     private static final int MAX_DOUBLINGS = 4;
 
@@ -39,6 +40,7 @@
     private final ArrayDeque<ExecutedOperation> pending = new ArrayDeque<>();
 
     private int failuresInARow;
+    private long lastMessageBytes;
     private long pendingBytes;
     private boolean isScheduled;
     private boolean isSending;
@@ -113,6 +115,9 @@
         String controller = candidates.get(failuresInARow % candidates.size());
         List<ExecutedOperation> batch = nextBatch();
         List<Answer> answers = new ArrayList<>(batch.size());
+        lastMessageBytes = batch.stream()
+                .mapToLong(operation -> operation.response().sizeBytes())
+                .sum();
         for (ExecutedOperation operation : batch) {
             answers.add(new Answer(
                     operation.registerId(),
@@ -147,9 +152,13 @@
         schedule(isKept ? pauseMs() : backoffMs());
     }
 
-    /** Until the next message: none where so much waits that it fills one. */
+    /** Until the next message: as long as the last one counts on the link, and until there is enough for another one. */
     private long pauseMs() {
-        return isHurried || pendingBytes >= MAX_MESSAGE_BYTES ? 0 : timings.gatherMs;
+        if (isHurried) {
+            return 0;
+        }
+        long linkMs = timings.bytesPerMs > 0 ? (long) (lastMessageBytes / timings.bytesPerMs) : 0;
+        return Math.max(linkMs, pendingBytes >= MAX_MESSAGE_BYTES ? 0 : timings.gatherMs);
     }
 
     private long backoffMs() {
--- a/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
+++ b/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
@@ -68,6 +68,10 @@
 
     /** Answers are gathered for {@code quiet} divided by this before they are handed to a controller. */
     private static final int ANSWER_GATHER_DIVISOR = 5;
+    /** Part of the link that copies of answers may take. */
+    private static final double ANSWER_LINK_SHARE = 0.1;
+
+    private static final double BYTES_PER_MS_OF_MBPS = 125;
     /** Stored responses of idempotency keys take at most the machine's memory divided by this. */
     private static final int RESPONSE_CACHE_DIVISOR = 24;
 
@@ -189,7 +193,10 @@
                 transport,
                 this::answerControllers,
                 new AnswerReplicator.Timings(
-                        bounds.quietPeriodMs() / ANSWER_GATHER_DIVISOR, bounds.quietPeriodMs(), callTimeoutMs),
+                        bounds.quietPeriodMs() / ANSWER_GATHER_DIVISOR,
+                        bounds.quietPeriodMs(),
+                        callTimeoutMs,
+                        settings.linkMbps() * BYTES_PER_MS_OF_MBPS * ANSWER_LINK_SHARE),
                 responseCacheBytes(settings));
         idempotencyTable.onExecuted(answerReplicator::add);
         this.admissionClient = new AdmissionClient(
--- a/src/main/java/bramblespool/state/Settings.java
+++ b/src/main/java/bramblespool/state/Settings.java
@@ -35,6 +35,7 @@
  * @param cpuShare processors that this process may use
  * @param memoryMb memory that it may use, 0 for no limit
  * @param maxFileDescriptors file descriptors that it may use, 0 for no limit
+ * @param linkMbps megabits a second of this machine's link, 0 where it is not known
  * @param diskMb disk that it may use, 0 for no limit
  * @param tolerableMachineLosses machines that may be lost together without losing anything acknowledged
  * @param bounds times and ratios that the rules of the site set
@@ -69,6 +70,7 @@
         double cpuShare,
         long memoryMb,
         long maxFileDescriptors,
+        double linkMbps,
         long diskMb,
         int tolerableMachineLosses,
         Bounds bounds,
--- a/src/main/java/bramblespool/state/SettingsParser.java
+++ b/src/main/java/bramblespool/state/SettingsParser.java
@@ -142,6 +142,7 @@
                 limits.number("cpuShare", 1.0),
                 limits.wholeNumber("memoryMb", 0L),
                 limits.wholeNumber("maxFds", 0L),
+                limits.number("linkMbps", 0.0),
                 limits.wholeNumber("diskMb", 0L),
                 readTolerableLosses(),
                 readBounds(),
--- a/src/test/java/bramblespool/coordination/answer/AnswerReplicatorTest.java
+++ b/src/test/java/bramblespool/coordination/answer/AnswerReplicatorTest.java
@@ -20,7 +20,7 @@
             clock,
             transport,
             () -> List.of("first", "second"),
-            new AnswerReplicator.Timings(300, 1000, 500),
+            new AnswerReplicator.Timings(300, 1000, 500, 10),
             MAX_BYTES);
 
     private void add(String claim, int bytes) {
@@ -87,10 +87,12 @@
         }
         assertEquals(1, replicator.droppedCount(), "the oldest");
         clock.advance(300);
-        Call call = expectCall("first", "c1", "c2");
+        Call call = expectCall("first", "c1");
         call.callback().accept(AnswerCodec.encodeKept());
-        clock.advance(0);
-        expectCall("first", "c3", "c4");
+        clock.advance(999);
+        assertEquals(List.of(), transport.take(), "10,000 bytes at 10 a millisecond");
+        clock.advance(1);
+        expectCall("first", "c2");
     }
 
     @Test
