--- a/src/test/java/bramblespool/model/ScheduleGenerator.java
+++ b/src/test/java/bramblespool/model/ScheduleGenerator.java
@@ -430,10 +430,39 @@
     }
 
     private void drawKeyed() {
-        if (random.nextInt(3) == 0) {
-            drawReuseAfterRestarts();
-            return;
+        switch (random.nextInt(9)) {
+            case 0, 1, 2 -> drawReuseAfterRestarts();
+            case 3 -> drawNewVoters();
+            case 4 -> drawProxyEndingAtOnce();
+            default -> drawAnyKeys();
+        }
+    }
+
+    /** Keys that are reserved while not all voters are back, and used elsewhere after one of the voters was replaced. */
+    private void drawNewVoters() {
+        long killedMs = Schedule.CATCH_UP_MS + random.nextInt(1000);
+        add(killedMs, Kind.ALL_KILLED, "-", 1500 + random.nextInt(500), 0);
+        long replacedMs = killedMs + 8000 + random.nextInt(2000);
+        add(replacedMs, Kind.KILL, String.valueOf(1 + random.nextInt(3)), 1500 + random.nextInt(8000), 0);
+        for (int key = 0; key < 24; key++) {
+            addTry(killedMs + 1300 + random.nextInt(800), random.nextInt(sidecars), key, ServerOutcome.ANSWERED);
+            addTry(replacedMs + 1000 + random.nextInt(12_000), random.nextInt(sidecars), key, ServerOutcome.ANSWERED);
+        }
+    }
+
+    /** Keys whose answer is given by a second proxy as well, right before the one that executed them ends. */
+    private void drawProxyEndingAtOnce() {
+        long killedMs = Schedule.CATCH_UP_MS + 1500 + random.nextInt(1000);
+        add(killedMs, Kind.WEFT_KILLED, "-", 300 + random.nextInt(2000), 0);
+        for (int key = 0; key < 12; key++) {
+            long atMs = killedMs - 600 + random.nextInt(400);
+            addTry(atMs, 0, key, ServerOutcome.ANSWERED);
+            addTry(atMs + 130 + random.nextInt(60), 1, key, ServerOutcome.ANSWERED);
+            addTry(killedMs + 8000 + random.nextInt(2000), 2, key, ServerOutcome.ANSWERED);
         }
+    }
+
+    private void drawAnyKeys() {
         int keys = 6 + random.nextInt(10);
         for (int key = 0; key < keys; key++) {
             drawKey(key);
@@ -493,7 +522,11 @@
         addTry(atMs, random.nextInt(3) > 0 ? sidecar : random.nextInt(sidecars), key, drawOutcome());
         for (int i = 0; i < 2 + random.nextInt(2); i++) {
             long gapMs = random.nextInt(3) == 0 ? 1500 + random.nextInt(10_000) : 40_000 + random.nextInt(50_000);
-            addTry(atMs + gapMs, random.nextInt(sidecars), key, drawOutcome());
+            int repeated = random.nextInt(sidecars);
+            addTry(atMs + gapMs, repeated, key, drawOutcome());
+            if (random.nextInt(3) == 0) {
+                addTry(atMs + gapMs + 1 + random.nextInt(10), repeated, key, drawOutcome());
+            }
             addTry(atMs + gapMs + 1500 + random.nextInt(1500), random.nextInt(sidecars), key, drawOutcome());
         }
     }
