--- a/src/main/java/bramblespool/coordination/answer/AnswerReplicator.java
+++ b/src/main/java/bramblespool/coordination/answer/AnswerReplicator.java
@@ -152,7 +152,7 @@
         schedule(isKept ? pauseMs() : backoffMs());
     }
 
-    /** Until the next message: as long as the last one counts on the link, and until there is enough for another one. */
+    /** Until the next message: as long as the last one counts on the link, and until another one is gathered. */
     private long pauseMs() {
         if (isHurried) {
             return 0;
--- a/src/test/java/bramblespool/model/ScheduleGenerator.java
+++ b/src/test/java/bramblespool/model/ScheduleGenerator.java
@@ -438,7 +438,7 @@
         }
     }
 
-    /** Keys that are reserved while not all voters are back, and used elsewhere after one of the voters was replaced. */
+    /** Keys that are reserved while a voter is missing, and used elsewhere after one of the voters was replaced. */
     private void drawNewVoters() {
         long killedMs = Schedule.CATCH_UP_MS + random.nextInt(1000);
         add(killedMs, Kind.ALL_KILLED, "-", 1500 + random.nextInt(500), 0);
