A stored response that arrives twice counts once

Two lookups of one answer may overlap, for example after an operation was given up and tried again: both recorded the response, and its bytes stayed counted after it was released, until the limit dropped younger answers. The earlier response is released first.

--- a/src/main/java/bramblespool/coordination/tenancy/IdempotencyTable.java
+++ b/src/main/java/bramblespool/coordination/tenancy/IdempotencyTable.java
@@ -252,6 +252,7 @@
     }
 
     private void store(Operation operation, StoredResponse response) {
+        releaseResponse(operation);
         operation.response = response;
         operation.responseBytes = response.sizeBytes();
         storedBytes += operation.responseBytes;
