What the mends wrote twice: one order of weights, one count of periods, one kind of clients

No behaviour changes.

- RendezvousHash.heaviestFirst orders controllers for DataPlaneNode, ZoneGossip and, reversed, ControllerSession.
- SequencePeriods tells both SQLite stores which rows are old; each had its own queue.
- RequestAdmission refuses another request of a key in one place; there were three.
- AnswerReplicator adds up a message's size once, asks for controllers only where it sends, and send is shorter.
- SoakClients holds what both kinds of clients of the soak had: mesh, requests, numbers, bounds.

--- a/src/main/java/bramblespool/coordination/answer/AnswerReplicator.java
+++ b/src/main/java/bramblespool/coordination/answer/AnswerReplicator.java
@@ -103,10 +103,10 @@
 
     private void send() {
         dropExpired();
-        List<String> candidates = controllers.get();
         if (isSending || pending.isEmpty()) {
             return;
         }
+        List<String> candidates = controllers.get();
         if (candidates.isEmpty()) {
             schedule(timings.callTimeoutMs);
             return;
@@ -114,19 +114,7 @@
         // The best one, and after each failure the next one.
         String controller = candidates.get(failuresInARow % candidates.size());
         List<ExecutedOperation> batch = nextBatch();
-        List<Answer> answers = new ArrayList<>(batch.size());
-        lastMessageBytes = batch.stream()
-                .mapToLong(operation -> operation.response().sizeBytes())
-                .sum();
-        for (ExecutedOperation operation : batch) {
-            answers.add(new Answer(
-                    operation.registerId(),
-                    operation.claim(),
-                    operation.fingerprint(),
-                    operation.expiresAtMs(),
-                    ResponseArchive.pack(operation.response()),
-                    NO_HOLDERS));
-        }
+        List<Answer> answers = batch.stream().map(AnswerReplicator::toAnswer).toList();
         isSending = true;
         transport.call(
                 controller,
@@ -136,6 +124,16 @@
                 response -> onResponse(batch, response != null));
     }
 
+    private static Answer toAnswer(ExecutedOperation operation) {
+        return new Answer(
+                operation.registerId(),
+                operation.claim(),
+                operation.fingerprint(),
+                operation.expiresAtMs(),
+                ResponseArchive.pack(operation.response()),
+                NO_HOLDERS);
+    }
+
     private void onResponse(List<ExecutedOperation> batch, boolean isKept) {
         isSending = false;
         if (isKept) {
@@ -174,15 +172,16 @@
         }
     }
 
+    /** The answers of the next message, the oldest first; notes their size. */
     private List<ExecutedOperation> nextBatch() {
         List<ExecutedOperation> batch = new ArrayList<>();
-        long bytes = 0;
+        lastMessageBytes = 0;
         for (ExecutedOperation operation : pending) {
-            if (bytes >= MAX_MESSAGE_BYTES) {
+            if (lastMessageBytes >= MAX_MESSAGE_BYTES) {
                 break;
             }
             batch.add(operation);
-            bytes += operation.response().sizeBytes();
+            lastMessageBytes += operation.response().sizeBytes();
         }
         return batch;
     }
--- a/src/main/java/bramblespool/coordination/controller/ZoneGossip.java
+++ b/src/main/java/bramblespool/coordination/controller/ZoneGossip.java
@@ -95,7 +95,7 @@
         }
         List<String> ordered = new ArrayList<>(otherControllers());
         ordered.sort(Comparator.comparing((String address) -> sameZone.contains(address))
-                .thenComparingLong(address -> -RendezvousHash.weight(local.peerAddress(), address)));
+                .thenComparing(RendezvousHash.heaviestFirst(local.peerAddress())));
         return ordered;
     }
 
--- a/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
+++ b/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
@@ -39,7 +39,6 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -655,8 +654,7 @@
             ordered.add(controller());
         }
         List<String> others = new ArrayList<>(EndpointDirectory.controllerAddresses(gossip, settings));
-        others.sort(
-                Comparator.comparingLong((String address) -> -RendezvousHash.weight(settings.peerAddress(), address)));
+        others.sort(RendezvousHash.heaviestFirst(settings.peerAddress()));
         ordered.addAll(others);
         return List.copyOf(ordered);
     }
--- a/src/main/java/bramblespool/coordination/hashing/RendezvousHash.java
+++ b/src/main/java/bramblespool/coordination/hashing/RendezvousHash.java
@@ -1,6 +1,7 @@
 package bramblespool.coordination.hashing;
 
 import java.util.Collection;
+import java.util.Comparator;
 
 /**
  * Rendezvous hashing, also known as highest random weight (Thaler and Ravishankar, "Using name-based mappings to
@@ -29,6 +30,12 @@
         return hash ^ hash >>> 32;
     }
 
+    /** Orders candidates by their weights for a key, the highest first. */
+    public static Comparator<String> heaviestFirst(String key) {
+        return Comparator.comparingLong((String candidate) -> weight(key, candidate))
+                .reversed();
+    }
+
     /** The candidate of the highest weight, the first of those of equal weight; null where there are no candidates. */
     public static String highestWeighted(String key, Collection<String> candidates) {
         String best = null;
--- a/src/main/java/bramblespool/coordination/membership/ControllerSession.java
+++ b/src/main/java/bramblespool/coordination/membership/ControllerSession.java
@@ -17,7 +17,6 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.function.Supplier;
 
@@ -159,8 +158,7 @@
             lastLocalControllerTried = localController;
             controller = localController;
         } else if (!controllers.isEmpty()) {
-            controllers.sort(Comparator.comparingLong(
-                    address -> RendezvousHash.weight(settings.get().node(), address)));
+            controllers.sort(RendezvousHash.heaviestFirst(settings.get().node()).reversed());
             controller = controllers.get(rotationIndex++ % controllers.size());
         }
         sessionNumber++;
--- a/src/main/java/bramblespool/coordination/tenancy/RequestAdmission.java
+++ b/src/main/java/bramblespool/coordination/tenancy/RequestAdmission.java
@@ -56,6 +56,7 @@
     public static final String DIFFERENT_REQUEST = "DIFFERS";
 
     private static final int IN_PROGRESS_STATUS = 409;
+    private static final int DIFFERENT_REQUEST_STATUS = 422;
     private static final int UNKNOWN_OUTCOME_STATUS = 502;
     /** When a repeated request may be sent again while the operation is being executed. */
     private static final long IN_PROGRESS_RETRY_MS = 100;
@@ -98,7 +99,7 @@
             return;
         }
         if (!operation.isSameRequest(request.fingerprint)) {
-            handler.reject(422, 0, "the key belongs to another request");
+            rejectDifferent(handler);
             return;
         }
         switch (operation.state()) {
@@ -224,7 +225,7 @@
             if (state.equals(State.ANSWERED.name()) && response.isPresent()) {
                 replayCopy(operation, existingClaim, response.get(), AnswerCodec.readRemaining(outcome), handler);
             } else if (state.equals(DIFFERENT_REQUEST)) {
-                handler.reject(422, 0, "the key belongs to another request");
+                rejectDifferent(handler);
             } else if (state.equals(State.RUNNING.name()) || state.equals(State.CLAIMING.name())) {
                 rejectInProgress(existingClaim, state, handler);
             } else {
@@ -257,13 +258,17 @@
             if (found.isEmpty()) {
                 rejectUnknown(claim, cause, handler);
             } else if (found.get().fingerprint() != request.fingerprint) {
-                handler.reject(422, 0, "the key belongs to another request");
+                rejectDifferent(handler);
             } else {
                 replayCopy(operation, claim, found.get().response(), found.get().remainingMs(), handler);
             }
         });
     }
 
+    private static void rejectDifferent(AdmissionHandler handler) {
+        handler.reject(DIFFERENT_REQUEST_STATUS, 0, "the key belongs to another request");
+    }
+
     /** It is being executed elsewhere. */
     private void rejectInProgress(String claim, String state, AdmissionHandler handler) {
         log.log(Event.IDEMPOTENCY_KEY_IN_USE, "owner", claim, "state", state, "status", IN_PROGRESS_STATUS);
--- a/src/main/java/bramblespool/state/SqliteAnswerStore.java
+++ b/src/main/java/bramblespool/state/SqliteAnswerStore.java
@@ -7,7 +7,6 @@
 import java.sql.ResultSet;
 import java.sql.SQLException;
 import java.sql.Statement;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -76,8 +75,8 @@
     private Connection connection;
 
     private long lastSequence;
-    /** What that was at each of the last expiries, the oldest first. */
-    private final ArrayDeque<Long> periodSequences = new ArrayDeque<>();
+    /** The periods that {@link #expire} ends. */
+    private final SequencePeriods periods = new SequencePeriods();
 
     /**
      * Opens nothing yet.
@@ -291,11 +290,7 @@
     }
 
     private void expire(int retainedPeriods) {
-        periodSequences.add(lastSequence);
-        if (periodSequences.size() <= retainedPeriods) {
-            return;
-        }
-        long expiredSequence = periodSequences.poll();
+        long expiredSequence = periods.end(lastSequence, retainedPeriods).orElse(0);
         if (expiredSequence == 0 || connection == null) {
             return;
         }
--- a/src/main/java/bramblespool/state/SqliteDurableStore.java
+++ b/src/main/java/bramblespool/state/SqliteDurableStore.java
@@ -56,8 +56,8 @@
     private String incarnation;
     /** The number of the last register handed over. */
     private long lastSequence;
-    /** What that was at each of the last calls of {@link #expireRegisters}, the oldest first. */
-    private final ArrayDeque<Long> periodSequences = new ArrayDeque<>();
+    /** The periods that {@link #expireRegisters} ends. */
+    private final SequencePeriods periods = new SequencePeriods();
 
     /** A store without a callback for a damaged database. */
     public SqliteDurableStore(String directory, Executor eventLoop, LongSupplier clockMs, EventLog log) {
@@ -196,12 +196,10 @@
 
     @Override
     public void expireRegisters(int retainedPeriods) {
-        periodSequences.add(lastSequence);
-        if (periodSequences.size() > retainedPeriods) {
+        periods.end(lastSequence, retainedPeriods).ifPresent(expiredSequence -> {
             releaseContents();
-            long expiredSequence = periodSequences.poll();
             enqueue(expiredSequence == 0 ? null : new RegisterExpiry(expiredSequence), () -> {});
-        }
+        });
     }
 
     private void releaseContents() {
--- a/src/test/java/bramblespool/coordination/hashing/RendezvousHashTest.java
+++ b/src/test/java/bramblespool/coordination/hashing/RendezvousHashTest.java
@@ -21,6 +21,14 @@
         assertEquals("10.0.0.2:7000", RendezvousHash.highestWeighted("tenants/3", CANDIDATES));
     }
 
+    @Test
+    void heaviestFirstBeginsWithTheHighestWeighted() {
+        List<String> ordered = new ArrayList<>(CANDIDATES);
+        ordered.sort(RendezvousHash.heaviestFirst("tenants/0"));
+        assertEquals("10.0.0.3:7000", ordered.remove(0));
+        assertEquals(RendezvousHash.highestWeighted("tenants/0", ordered), ordered.get(0));
+    }
+
     @Test
     void onlyKeysOfTheCandidateThatGoesMove() {
         List<String> remaining = new ArrayList<>(CANDIDATES);
--- a/src/test/java/bramblespool/soak/SoakKeyedTraffic.java
+++ b/src/test/java/bramblespool/soak/SoakKeyedTraffic.java
@@ -7,17 +7,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.Random;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Clients whose requests bear idempotency keys: new ones, and again and again those that they have sent before, at any
  * sidecar. They keep their connections and use them until the process is gone.
  */
-final class SoakKeyedTraffic extends SoakClients {
+final class SoakKeyedTraffic extends SoakClients<SoakKeyedTraffic.Request> {
     /**
      * A request as its client saw it.
      *
@@ -27,23 +24,13 @@
     record Request(String key, int sidecar, int status, String body, long startedNs, long endedNs) {}
 
     private static final int CLIENTS = 6;
-    private static final int DEADLINE_MS = 4500;
-    private static final int PATIENCE_MS = 9000;
     private static final double NEW_KEY_SHARE = 0.3;
     private static final int MAX_PAUSE_MS = 60;
 
-    private final SoakMesh mesh;
-    private final Queue<Request> requests = new ConcurrentLinkedQueue<>();
     private final List<String> keys = new ArrayList<>();
-    private final AtomicInteger nextId = new AtomicInteger();
 
     SoakKeyedTraffic(SoakMesh mesh) {
-        super(CLIENTS);
-        this.mesh = mesh;
-    }
-
-    Queue<Request> requests() {
-        return requests;
+        super(mesh, CLIENTS);
     }
 
     @Override
@@ -52,7 +39,7 @@
         while (!isOver()) {
             int sidecar = random.nextInt(SoakMesh.SIDECARS);
             if (mesh.sidecars.get(sidecar).isRunning()) {
-                requests.add(send(drawKey(random), sidecar, connections));
+                requests().add(send(drawKey(random), sidecar, connections));
             }
             pause(random.nextInt(MAX_PAUSE_MS));
         }
@@ -90,7 +77,7 @@
             }
             RawHttp.write(
                     connection,
-                    "POST /k/" + key + " HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: k" + nextId.incrementAndGet()
+                    "POST /k/" + key + " HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: k" + nextId()
                             + "\r\nX-Operation-Key: " + key + "\r\nX-Deadline-Ms: " + DEADLINE_MS
                             + "\r\nContent-Length: 4\r\n\r\nbody");
             RawHttp.Response response = RawHttp.readResponse(connection);
--- a/src/test/java/bramblespool/soak/SoakTraffic.java
+++ b/src/test/java/bramblespool/soak/SoakTraffic.java
@@ -4,13 +4,10 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.util.Queue;
 import java.util.Random;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** Clients that send requests through the sidecars, each on connections of its own; some leave before the answer. */
-final class SoakTraffic extends SoakClients {
+final class SoakTraffic extends SoakClients<SoakTraffic.Request> {
     /** How a request ended for its client. */
     enum End {
         ANSWERED,
@@ -33,22 +30,11 @@
     record Request(String id, boolean isIdempotent, int sidecar, End end, int status, long startedNs, long endedNs) {}
 
     private static final int CLIENTS = 10;
-    private static final int DEADLINE_MS = 4500;
-    private static final int PATIENCE_MS = 9000;
     private static final double LEAVING_SHARE = 0.5;
     private static final int MAX_LEAVE_MS = 400;
 
-    private final SoakMesh mesh;
-    private final Queue<Request> requests = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger nextId = new AtomicInteger();
-
     SoakTraffic(SoakMesh mesh) {
-        super(CLIENTS);
-        this.mesh = mesh;
-    }
-
-    Queue<Request> requests() {
-        return requests;
+        super(mesh, CLIENTS);
     }
 
     @Override
@@ -56,13 +42,13 @@
         while (!isOver()) {
             int sidecar = random.nextInt(SoakMesh.SIDECARS);
             if (mesh.sidecars.get(sidecar).isRunning()) {
-                requests.add(send(random, sidecar));
+                requests().add(send(random, sidecar));
             }
         }
     }
 
     private Request send(Random random, int sidecar) {
-        String id = "q" + nextId.incrementAndGet();
+        String id = "q" + nextId();
         boolean isIdempotent = random.nextBoolean();
         boolean leaves = random.nextDouble() < LEAVING_SHARE;
         long startedNs = System.nanoTime();
