--- a/src/main/java/bramblespool/coordination/tenancy/RequestAdmission.java
+++ b/src/main/java/bramblespool/coordination/tenancy/RequestAdmission.java
@@ -55,6 +55,8 @@
     /** In place of a {@link State}: another request than the one that was executed bears the key. */
     public static final String DIFFERENT_REQUEST = "DIFFERS";
 
+    private static final int IN_PROGRESS_STATUS = 409;
+    private static final int UNKNOWN_OUTCOME_STATUS = 502;
     /** When a repeated request may be sent again while the operation is being executed. */
     private static final long IN_PROGRESS_RETRY_MS = 100;
 
@@ -101,9 +103,9 @@
         }
         switch (operation.state()) {
             case CLAIMING -> awaitClaim(request, operation, timeoutMs, handler);
-            case RUNNING -> handler.reject(409, IN_PROGRESS_RETRY_MS, "in progress");
+            case RUNNING -> handler.reject(IN_PROGRESS_STATUS, IN_PROGRESS_RETRY_MS, "in progress");
             case ANSWERED -> replayStored(request, operation, timeoutMs, handler);
-            case UNKNOWN -> handler.reject(409, 0, "the outcome is unknown");
+            case UNKNOWN -> rejectUnknown(operation.claim(), State.UNKNOWN.name(), handler);
             default -> {
                 if (idempotencyTable.isClaimUsable(operation)) {
                     readmit(request, operation, timeoutMs, handler);
@@ -122,7 +124,7 @@
             if (remainingMs > 0) {
                 admit(request, remainingMs, handler);
             } else {
-                handler.reject(409, IN_PROGRESS_RETRY_MS, "in progress");
+                handler.reject(IN_PROGRESS_STATUS, IN_PROGRESS_RETRY_MS, "in progress");
             }
         });
     }
@@ -224,7 +226,7 @@
             } else if (state.equals(DIFFERENT_REQUEST)) {
                 handler.reject(422, 0, "the key belongs to another request");
             } else if (state.equals(State.RUNNING.name()) || state.equals(State.CLAIMING.name())) {
-                rejectInUse(existingClaim, state, IN_PROGRESS_RETRY_MS, handler);
+                rejectInProgress(existingClaim, state, handler);
             } else {
                 String cause = state.isEmpty() ? "silent" : state;
                 findCopy(request, operation, existingClaim, cause, timeoutMs, handler);
@@ -252,7 +254,7 @@
             AdmissionHandler handler) {
         answerLookup.find(request.registerId, claim, timeoutMs, found -> {
             if (found.isEmpty()) {
-                rejectInUse(claim, cause, 0, handler);
+                rejectUnknown(claim, cause, handler);
             } else if (found.get().fingerprint() != request.fingerprint) {
                 handler.reject(422, 0, "the key belongs to another request");
             } else {
@@ -261,8 +263,18 @@
         });
     }
 
-    private void rejectInUse(String claim, String state, long retryMs, AdmissionHandler handler) {
-        log.log(Event.IDEMPOTENCY_KEY_IN_USE, "owner", claim, "state", state);
-        handler.reject(409, retryMs, "claimed elsewhere");
+    /** It is being executed elsewhere. */
+    private void rejectInProgress(String claim, String state, AdmissionHandler handler) {
+        log.log(Event.IDEMPOTENCY_KEY_IN_USE, "owner", claim, "state", state, "status", IN_PROGRESS_STATUS);
+        handler.reject(IN_PROGRESS_STATUS, IN_PROGRESS_RETRY_MS, "claimed elsewhere");
+    }
+
+    /**
+     * It may have been executed or not, and nobody has the answer. It is not executed again, and nothing else can be
+     * promised; 409 would say that it is in progress (PROTOCOL-bramblespool.md, "Answers").
+     */
+    private void rejectUnknown(String claim, String state, AdmissionHandler handler) {
+        log.log(Event.IDEMPOTENCY_KEY_IN_USE, "owner", claim, "state", state, "status", UNKNOWN_OUTCOME_STATUS);
+        handler.reject(UNKNOWN_OUTCOME_STATUS, 0, "the outcome is unknown");
     }
 }
