--- a/src/main/java/bramblespool/coordination/controller/AdmissionHandler.java
+++ b/src/main/java/bramblespool/coordination/controller/AdmissionHandler.java
@@ -2,8 +2,14 @@
 
 import bramblespool.coordination.register.RegisterProposer;
 import bramblespool.coordination.register.RegisterResult;
+import bramblespool.coordination.tenancy.AdmissionCodec;
+import bramblespool.coordination.tenancy.AdmissionRequest;
+import bramblespool.coordination.tenancy.AdmissionResponse;
+import bramblespool.coordination.tenancy.IdempotencyClaim;
 import bramblespool.coordination.tenancy.ShardLeases;
 import bramblespool.coordination.tenancy.TenantRateLimiter;
+import bramblespool.coordination.tenancy.TokenRequest;
+import bramblespool.coordination.traffic.OverloadDetector;
 import bramblespool.state.ReplicatedState;
 import bramblespool.transport.Clock;
 import java.util.HashMap;
@@ -22,28 +28,44 @@
 
     private static final int CLAIM_TIMEOUT_DENOMINATOR = 5;
 
+    /** A request is not decided on any more where the timers are late by its time-out divided by this. */
+    private static final int LATENESS_DIVISOR = 2;
+
     private final LocalController local;
     private final Clock clock;
     private final ControllerContext context;
     private final ReplicatedState replicatedState;
     private final ShardLeases shardLeases;
     private final TenantRateLimiter rateLimiter;
+    private final TokenIssuer tokenIssuer;
     private final RegisterProposer registerProposer;
+    private final OverloadDetector overloadDetector;
     /** Owners of shards that did not answer, and when that was. */
     private final Map<String, Long> unresponsiveSinceMs = new HashMap<>();
 
-    AdmissionHandler(ControllerContext context, GroupMember member, TenantRateLimiter rateLimiter) {
+    AdmissionHandler(
+            ControllerContext context,
+            GroupMember member,
+            TenantRateLimiter rateLimiter,
+            TokenIssuer tokenIssuer,
+            OverloadDetector overloadDetector) {
         this.local = context.local();
         this.clock = context.clock();
         this.context = context;
         this.replicatedState = member.replicatedState();
         this.shardLeases = member.shardLeases();
         this.rateLimiter = rateLimiter;
+        this.tokenIssuer = tokenIssuer;
         this.registerProposer = member.registers().proposer();
+        this.overloadDetector = overloadDetector;
     }
 
     /** Decides on a proxy's request; the token comes first, and without one nothing is claimed. */
     void admit(AdmissionRequest request, Responder<AdmissionResponse> responder) {
+        if (isTooLateFor(request)) {
+            responder.respond(new AdmissionResponse(new AdmissionResponse.Unavailable(context.callTimeoutMs()), null));
+            return;
+        }
         TokenRequest tokenRequest = request.tokenRequest();
         if (tokenRequest == null) {
             claim(request, AdmissionResponse.ADMITTED, responder);
@@ -52,12 +74,19 @@
         shardLeases.markRequested();
         String owner = shardLeases.ownerOf(tokenRequest.shard());
         if (shardLeases.fencingToken(tokenRequest.shard()) >= 0 || owner == null || isUnresponsive(owner)) {
-            afterToken(request, takeToken(tokenRequest), responder);
+            tokenIssuer.issue(
+                    tokenRequest,
+                    new ResponderOf<>(response -> afterToken(request, response, responder), responder::reject));
         } else {
             askOwner(owner, request, responder);
         }
     }
 
+    /** What has waited so long would be answered too late: the work is better spent on what can be in time. */
+    private boolean isTooLateFor(AdmissionRequest request) {
+        return overloadDetector.latenessMs() * LATENESS_DIVISOR > request.timeoutMs();
+    }
+
     private boolean isUnresponsive(String owner) {
         long timeoutMs = context.callTimeoutMs();
         return clock.nowMs() - unresponsiveSinceMs.getOrDefault(owner, -timeoutMs) < timeoutMs;
@@ -68,7 +97,7 @@
         context.transport()
                 .call(
                         owner,
-                        PeerMessageKinds.TOKEN,
+                        AdmissionCodec.TOKEN_KIND,
                         AdmissionCodec.INSTANCE.encodeTokenRequest(tokenRequest),
                         Math.max(1, request.timeoutMs() / OWNER_TIMEOUT_DIVISOR),
                         body -> {
@@ -78,8 +107,8 @@
                                 afterToken(request, AdmissionResponse.UNDECIDED, responder);
                                 return;
                             }
-                            AdmissionResponse response = AdmissionCodec.INSTANCE.decodeTokenResponse(body);
-                            if (response.isUndecided()) {
+                            AdmissionResponse response = AdmissionCodec.INSTANCE.decodeResponse(body);
+                            if (response.isUndecided() && response.shardOwner() == null) {
                                 shardLeases.onWrongOwner(tokenRequest.shard());
                             }
                             afterToken(request, response, responder);
@@ -88,8 +117,10 @@
 
     private void afterToken(
             AdmissionRequest request, AdmissionResponse ownerResponse, Responder<AdmissionResponse> responder) {
-        AdmissionResponse response =
-                ownerResponse.isUndecided() ? takeFallbackToken(request.tokenRequest(), ownerResponse) : ownerResponse;
+        // An owner that leaves it undecided has said who can decide.
+        AdmissionResponse response = ownerResponse.isUndecided() && ownerResponse.shardOwner() == null
+                ? takeFallbackToken(request.tokenRequest(), ownerResponse)
+                : ownerResponse;
         if (response.isAdmitted()) {
             claim(request, response, responder);
         } else {
@@ -103,7 +134,7 @@
             return undecided;
         }
         // One more than there are, for a change of voters that has not been applied here.
-        boolean isGranted = rateLimiter.takeFallbackToken(
+        boolean isGranted = rateLimiter.takeVoterFallbackToken(
                 request.tenant(),
                 replicatedState.voterSinceIndexes().size() + 1,
                 request.ratePerSecond(),
@@ -111,28 +142,6 @@
         return isGranted ? AdmissionResponse.ADMITTED : undecided;
     }
 
-    /** Takes a token as the shard's owner. Where no owner is known, this controller tries to acquire the shard. */
-    AdmissionResponse takeToken(TokenRequest request) {
-        String shard = request.shard();
-        long fencingToken = local.isLeaving() ? -1 : shardLeases.fencingToken(shard);
-        if (fencingToken < 0) {
-            if (!local.isLeaving() && shardLeases.ownerOf(shard) == null) {
-                shardLeases.acquire(shard);
-            }
-            return AdmissionResponse.UNDECIDED;
-        }
-        long waitMs = rateLimiter.takeToken(
-                request.tenant(),
-                shardLeases.ownershipTerm(shard),
-                shardLeases.isFirstOwnership(shard),
-                request.epoch(),
-                request.ratePerSecond(),
-                request.burst());
-        return new AdmissionResponse(
-                waitMs == 0 ? new AdmissionResponse.Admitted() : new AdmissionResponse.RateLimited(waitMs),
-                new AdmissionResponse.ShardOwner(local.peerAddress(), fencingToken));
-    }
-
     /** Claims the idempotency key, where there is one, for a request whose tenant is within its limit. */
     private void claim(AdmissionRequest request, AdmissionResponse admitted, Responder<AdmissionResponse> responder) {
         IdempotencyClaim claim = request.claim();
--- a/src/main/java/bramblespool/coordination/controller/ControllerNode.java
+++ b/src/main/java/bramblespool/coordination/controller/ControllerNode.java
@@ -13,7 +13,12 @@
 import bramblespool.coordination.register.RegisterProposer;
 import bramblespool.coordination.register.RegisterService;
 import bramblespool.coordination.singleton.FencingTokenCodec;
+import bramblespool.coordination.tenancy.AdmissionCodec;
+import bramblespool.coordination.tenancy.BucketCodec;
+import bramblespool.coordination.tenancy.BucketLeaseTimings;
+import bramblespool.coordination.tenancy.BucketLender;
 import bramblespool.coordination.tenancy.IdempotencyTable;
+import bramblespool.coordination.tenancy.ShardLeases;
 import bramblespool.coordination.tenancy.TenantRateLimiter;
 import bramblespool.coordination.time.TimeCodec;
 import bramblespool.coordination.traffic.OverloadDetector;
@@ -31,6 +36,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -64,6 +70,7 @@
     private final boolean hasLostStore;
     private final OverloadDetector overloadDetector;
     private final PeerMessageDispatcher dispatcher;
+    private final MessageLoad messageLoad;
 
     /** What a controller has on its disk. */
     public record Stores(DurableStore durableStore, AnswerStore answerStore) {}
@@ -96,7 +103,8 @@
                 this::publishReplicatedState,
                 this::onLeadershipChanged);
         LeaderContact leaderContact = LeaderContact.of(member.raft());
-        this.overloadDetector = new OverloadDetector(clock, bounds.quietPeriodMs() / LATENESS_DIVISOR, log);
+        this.messageLoad = new MessageLoad(clock);
+        this.overloadDetector = newOverloadDetector(log);
         this.zoneGossip = new ZoneGossip(context, this::openSessionAddresses, leaderContact, overloadDetector);
         GossipStore gossip = zoneGossip.store();
         this.sessions = new SessionRegistry(context, gossip, leaderContact);
@@ -112,14 +120,26 @@
         this.roleScheduler =
                 new SingletonRoleScheduler(context, member, zoneGossip, sessions, platform, identity.hasFreshStore());
 
-        TenantRateLimiter rateLimiter = newRateLimiter(bounds);
         this.dispatcher = new PeerMessageDispatcher(log);
+        registerMessages(context, phaseRelay, leaderContact);
+    }
+
+    private void registerMessages(ControllerContext context, PhaseRelay phaseRelay, LeaderContact leaderContact) {
+        TenantRateLimiter rateLimiter = newRateLimiter(local.settings().bounds());
         addMessageFamilies();
-        registerProxyMessages(context, rateLimiter);
+        registerProxyMessages(context);
+        registerAdmissionMessages(context, rateLimiter);
         registerControllerMessages(phaseRelay, leaderContact);
         registerStatus(rateLimiter);
     }
 
+    private OverloadDetector newOverloadDetector(EventLog log) {
+        long thresholdMs = local.settings().bounds().quietPeriodMs() / LATENESS_DIVISOR;
+        OverloadDetector detector = new OverloadDetector(clock, thresholdMs, log);
+        detector.describeLoadBy(messageLoad::describe);
+        return detector;
+    }
+
     private TenantRateLimiter newRateLimiter(Settings.Bounds bounds) {
         return new TenantRateLimiter(
                 clock, bounds.rateLimitWindowMs(), bounds.rateLimitExcess(), bounds.rateLimitAllowance());
@@ -182,18 +202,12 @@
     }
 
     /** Kinds of message by which sidecars and gateways ask something of their controller. */
-    private void registerProxyMessages(ControllerContext context, TenantRateLimiter rateLimiter) {
+    private void registerProxyMessages(ControllerContext context) {
         SessionHandler sessionHandler = new SessionHandler(sessions, roleScheduler.usageReporter());
         RetryLeaseHandler retryLeases = new RetryLeaseHandler(context, member, roleScheduler);
-        AdmissionHandler admission = new AdmissionHandler(context, member, rateLimiter);
         ConfigurationDocuments documents = new ConfigurationDocuments(member.replicatedState());
         dispatcher.register(PeerMessageKinds.SESSION, SessionCodec.INSTANCE, sessionHandler::handle);
         dispatcher.register(PeerMessageKinds.RETRY_LEASE, RetryLeaseCodec.INSTANCE, retryLeases::handle);
-        dispatcher.register(PeerMessageKinds.ADMIT, AdmissionCodec.INSTANCE, admission::admit);
-        dispatcher.register(
-                PeerMessageKinds.TOKEN,
-                AdmissionCodec.TOKEN_CODEC,
-                (request, responder) -> responder.respond(admission.takeToken(request)));
         dispatcher.register(AnswerCodec.KEEP_KIND, answerReplica::handleKeep);
         dispatcher.register(AnswerCodec.FIND_KIND, answerReplica::handleFind);
         dispatcher.register(AnswerCodec.RECOVER_KIND, answerReplica::handleRecover);
@@ -203,6 +217,34 @@
                 (request, responder) -> documents.find(request).ifPresentOrElse(responder::respond, responder::reject));
     }
 
+    /** Kinds of message about tokens of tenants' rate limits, the buckets that proxies hold, and idempotency keys. */
+    private void registerAdmissionMessages(ControllerContext context, TenantRateLimiter rateLimiter) {
+        ShardLeases shardLeases = member.shardLeases();
+        BucketLender lender = new BucketLender(
+                clock,
+                rateLimiter,
+                BucketLeaseTimings.of(local.settings().bounds().quietPeriodMs()).leaseMs());
+        TokenIssuer tokenIssuer = new TokenIssuer(
+                context,
+                shardLeases,
+                rateLimiter,
+                lender,
+                this::doAllVotersLendBuckets,
+                () -> sessions.members().size());
+        AdmissionHandler admission = new AdmissionHandler(context, member, rateLimiter, tokenIssuer, overloadDetector);
+        BucketLeaseHandler bucketLeases = new BucketLeaseHandler(local, shardLeases, lender);
+        dispatcher.register(AdmissionCodec.ADMIT_KIND, AdmissionCodec.INSTANCE, admission::admit);
+        dispatcher.register(AdmissionCodec.TOKEN_KIND, AdmissionCodec.TOKEN_CODEC, tokenIssuer::issue);
+        dispatcher.register(BucketCodec.RENEW_KIND, bucketLeases::handleRenewal);
+        dispatcher.register(BucketCodec.RETURN_KIND, bucketLeases::handleReturn);
+    }
+
+    private boolean doAllVotersLendBuckets() {
+        Set<String> voters = new HashSet<>();
+        member.replicatedState().voterSinceIndexes().keySet().forEach(voter -> voters.add(RaftNode.addressOf(voter)));
+        return zoneGossip.allLendBuckets(voters);
+    }
+
     /** Kinds of message that other controllers send; any daemon may ask whether this one answers. */
     private void registerControllerMessages(PhaseRelay phaseRelay, LeaderContact leaderContact) {
         dispatcher.register(
@@ -260,7 +302,7 @@
 
     @Override
     public void handleRequest(String kind, JsonNode body, Consumer<ObjectNode> callback) {
-        dispatcher.handleRequest(kind, body, callback);
+        messageLoad.measure(kind, () -> dispatcher.handleRequest(kind, body, callback));
     }
 
     /** Replaces or amends the configuration, as the leader. */
--- a/src/main/java/bramblespool/coordination/controller/ControllerStatusCodec.java
+++ b/src/main/java/bramblespool/coordination/controller/ControllerStatusCodec.java
@@ -1,6 +1,6 @@
 package bramblespool.coordination.controller;
 
-import bramblespool.coordination.tenancy.AdmissionClient;
+import bramblespool.coordination.tenancy.TenantSharding;
 import bramblespool.raft.MemberProgress;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -113,7 +113,7 @@
 
     private static void putTenancy(ObjectNode body, ControllerStatus.Tenancy tenancy) {
         body.put(OWNED_SHARDS, tenancy.ownedShards())
-                .put(SHARD_COUNT, AdmissionClient.SHARD_COUNT)
+                .put(SHARD_COUNT, TenantSharding.SHARD_COUNT)
                 .put(REGISTERS, tenancy.registers())
                 .put(PROPOSAL_ROUNDS, tenancy.proposalRounds())
                 .put(UNKNOWN_OUTCOMES, tenancy.unknownOutcomes())
--- a/src/main/java/bramblespool/coordination/controller/GossipPayloadCodec.java
+++ b/src/main/java/bramblespool/coordination/controller/GossipPayloadCodec.java
@@ -18,6 +18,8 @@
     private static final String ZONE = "zone";
     private static final String HAS_LEFT = "gone";
     private static final String IS_VOTER = "voter";
+    /** Whether the controller knows of token buckets that proxies hold; versions before 0.7 do not. */
+    private static final String LENDS_BUCKETS = "lends";
     /** Fields of a proxy's own entry: its endpoints, and the ids of the servers behind one, separated by spaces. */
     private static final String ENDPOINTS = "doors";
 
@@ -45,7 +47,12 @@
                 .put(CONTROL_ADDRESS, settings.controlAddress())
                 .put(ZONE, settings.zone())
                 .put(HAS_LEFT, isLeaving)
-                .put(IS_VOTER, isVoter);
+                .put(IS_VOTER, isVoter)
+                .put(LENDS_BUCKETS, true);
+    }
+
+    static boolean decodeLendsBuckets(JsonNode body) {
+        return body.path(LENDS_BUCKETS).asBoolean();
     }
 
     /** The peer address in a controller's or a proxy's own entry. */
--- a/src/main/java/bramblespool/coordination/controller/PeerMessageDispatcher.java
+++ b/src/main/java/bramblespool/coordination/controller/PeerMessageDispatcher.java
@@ -1,5 +1,6 @@
 package bramblespool.coordination.controller;
 
+import bramblespool.protocol.PeerMessageCodec;
 import bramblespool.state.EventLog;
 import bramblespool.state.EventLog.Event;
 import bramblespool.transport.PeerTransport;
--- a/src/main/java/bramblespool/coordination/controller/RetryLeaseCodec.java
+++ b/src/main/java/bramblespool/coordination/controller/RetryLeaseCodec.java
@@ -1,5 +1,6 @@
 package bramblespool.coordination.controller;
 
+import bramblespool.protocol.PeerMessageCodec;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/src/main/java/bramblespool/coordination/controller/ZoneGossip.java
+++ b/src/main/java/bramblespool/coordination/controller/ZoneGossip.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -106,6 +107,17 @@
         return controllers;
     }
 
+    /** Whether all of these controllers have announced that they know of token buckets that proxies hold. */
+    boolean allLendBuckets(Collection<String> peerAddresses) {
+        Set<String> lending = new HashSet<>();
+        for (GossipStore.GossipEntry entry : store.entriesWithPrefix(GossipKeys.CONTROLLER_KEY_PREFIX)) {
+            if (GossipPayloadCodec.decodeLendsBuckets(entry.body())) {
+                lending.add(GossipPayloadCodec.decodePeerAddress(entry.body()));
+            }
+        }
+        return lending.containsAll(peerAddresses);
+    }
+
     /** Publishes this controller's own entry. */
     void publishSelf() {
         isAnnouncedAsVoter = local.isVoter();
--- a/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
+++ b/src/main/java/bramblespool/coordination/dataplane/DataPlaneNode.java
@@ -1,8 +1,5 @@
 package bramblespool.coordination.dataplane;
 
-import bramblespool.coordination.answer.AnswerCodec;
-import bramblespool.coordination.answer.AnswerLookup;
-import bramblespool.coordination.answer.AnswerReplicator;
 import bramblespool.coordination.configuration.ConfigurationFreshness;
 import bramblespool.coordination.configuration.PhaseCodec;
 import bramblespool.coordination.configuration.PhaseHandler;
@@ -65,15 +62,6 @@
     /** Fraction of the shutdown time in which the proxy still admits requests to its servers. */
     private static final double SHUTDOWN_SERVING_SHARE = 0.6;
 
-    /** Answers are gathered for {@code quiet} divided by this before they are handed to a controller. */
-    private static final int ANSWER_GATHER_DIVISOR = 5;
-    /** Part of the link that copies of answers may take. */
-    private static final double ANSWER_LINK_SHARE = 0.1;
-
-    private static final double BYTES_PER_MS_OF_MBPS = 125;
-    /** Stored responses of idempotency keys take at most the machine's memory divided by this. */
-    private static final int RESPONSE_CACHE_DIVISOR = 24;
-
     private final Clock clock;
     private final PeerTransport transport;
     private final EventLog log;
@@ -96,15 +84,12 @@
     public final AdmissionClient admissionClient;
     /** The operations whose idempotency keys this proxy has claimed. */
     public final IdempotencyTable idempotencyTable;
-    /** Hands the answers of those operations to controllers. */
-    private final AnswerReplicator answerReplicator;
     /** Admits requests by their tenants' limits and their keys. */
     public final RequestAdmission requestAdmission;
     /** Requests executed at this proxy's servers, by tenant; null without usage reporting. */
     public final UsageCounter usageCounter;
-    /** This proxy and the run of its process, as its claims name it. */
-    private final String claimOwner;
 
+    private final ProxyTenancy tenancy;
     private final ControllerSession controllerSession;
     private final TermGuard termGuard;
     private final PhaseHandler phaseHandler;
@@ -137,11 +122,11 @@
                         return selectPeers();
                     }
                 });
-        this.claimOwner = settings.peerAddress() + " " + Long.toHexString((long) (clock.random() * (1L << 52)));
+        String processId = settings.peerAddress() + " " + Long.toHexString((long) (clock.random() * (1L << 52)));
         ClusterClock clusterClock = new ClusterClock(clock);
         this.usageCounter = settings.usageReporting() == null
                 ? null
-                : new UsageCounter(clusterClock, claimOwner, UsageWindows.of(settings.usageReporting()));
+                : new UsageCounter(clusterClock, processId, UsageWindows.of(settings.usageReporting()));
         this.termGuard = new TermGuard(log);
         this.freshness = new ConfigurationFreshness(
                 () -> EndpointDirectory.controllerAddresses(gossip, this.settings),
@@ -182,49 +167,30 @@
             admissions.add(serverAdmission);
         }
         this.retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retryAllowance());
-        this.idempotencyTable = new IdempotencyTable(
-                clock,
-                claimOwner,
-                IdempotencyTable.retentionMs(bounds.idempotencyKeyWindowMs()),
-                responseCacheBytes(settings));
-        this.answerReplicator = new AnswerReplicator(
+        this.tenancy = new ProxyTenancy(
+                settings,
+                processId,
+                new ProxyTenancy.KnownControllers(
+                        () -> EndpointDirectory.voterAddresses(gossip, this.settings),
+                        () -> EndpointDirectory.controllerAddresses(gossip, this.settings),
+                        this::answerControllers),
                 clock,
                 transport,
-                this::answerControllers,
-                new AnswerReplicator.Timings(
-                        bounds.quietPeriodMs() / ANSWER_GATHER_DIVISOR,
-                        bounds.quietPeriodMs(),
-                        callTimeoutMs,
-                        settings.linkMbps() * BYTES_PER_MS_OF_MBPS * ANSWER_LINK_SHARE),
-                responseCacheBytes(settings));
-        idempotencyTable.onExecuted(answerReplicator::add);
-        this.admissionClient = new AdmissionClient(
-                clock,
-                transport,
-                () -> EndpointDirectory.voterAddresses(gossip, this.settings),
-                bounds.quietPeriodMs());
-        this.requestAdmission = new RequestAdmission(
-                admissionClient,
-                idempotencyTable,
-                this::queryOperation,
-                new AnswerLookup(transport, this::answerControllers),
-                clock,
                 log);
+        this.idempotencyTable = tenancy.idempotencyTable();
+        this.admissionClient = tenancy.admissionClient();
+        this.requestAdmission = tenancy.requestAdmission();
         gossip.registerOwnKey(GossipKeys.PROXY_KEY_PREFIX + settings.node(), this::publishOwnEntry);
         gossip.addListener(this::onGossipUpdate);
         shadowCommit.onChange(this::onConfigurationChange);
     }
 
-    private static long responseCacheBytes(Settings settings) {
-        long memoryMb = settings.memoryMb() > 0 ? settings.memoryMb() : 256;
-        return memoryMb * (1 << 20) / RESPONSE_CACHE_DIVISOR;
-    }
-
     /** Publishes the own entry, opens the session and starts the timers. */
     public void start() {
         long renewalIntervalMs = settings.bounds().quietPeriodMs() / RENEWAL_DIVISOR;
         publishOwnEntry();
         controllerSession.renew();
+        tenancy.start();
         clock.scheduleRepeatedly(renewalIntervalMs, () -> {
             long nowMs = clock.nowMs();
             if (lastRenewalMs > 0 && nowMs - lastRenewalMs > renewalIntervalMs * 3) {
@@ -517,7 +483,7 @@
 
     @Override
     public void handleRequest(String kind, JsonNode request, Consumer<ObjectNode> callback) {
-        if (gossip.handleRequest(kind, request, callback)) {
+        if (gossip.handleRequest(kind, request, callback) || tenancy.handleRequest(kind, request, callback)) {
             return;
         }
         switch (kind) {
@@ -528,7 +494,6 @@
             case "doc" ->
                 callback.accept(describeConfiguration(
                         request.path("epoch").asLong(), request.path("stamp").asText()));
-            case "operation" -> callback.accept(describeOperation(request));
             case "status" -> callback.accept(describeStatus());
             default -> {
                 log.logOnChange(Event.MESSAGE_DROPPED, kind, "kind", kind, "cause", "unknown");
@@ -537,55 +502,6 @@
         }
     }
 
-    // ---- idempotency keys
-
-    /** Answers a proxy that found a claim of this one in a register with the state of the operation. */
-    private ObjectNode describeOperation(JsonNode request) {
-        ObjectNode response = JsonNodeFactory.instance.objectNode();
-        String claim = request.path("claim").asText();
-        if (!claim.startsWith(claimOwner + " ")) {
-            // A claim of an earlier run of this process, whose outcome is unknown.
-            return response.put("state", IdempotencyTable.State.UNKNOWN.name());
-        }
-        IdempotencyTable.Operation operation =
-                idempotencyTable.resolveClaim(request.path("register").asText(), claim);
-        if (operation == null) {
-            return response.put("state", IdempotencyTable.State.GIVEN.name());
-        }
-        if (!operation.isSameRequest(request.path("print").asLong())) {
-            return response.put("state", RequestAdmission.DIFFERENT_REQUEST);
-        }
-        response.put("state", operation.state().name());
-        if (operation.response() != null) {
-            AnswerCodec.writeResponse(response, operation.response());
-            AnswerCodec.writeRemaining(response, idempotencyTable.remainingMs(operation));
-        }
-        return response;
-    }
-
-    /**
-     * Asks the proxy named by a claim for the outcome of the operation. The callback gets null where it did not answer,
-     * or where the claim is of an earlier run of this process.
-     */
-    private void queryOperation(
-            String register, String claim, long fingerprint, long timeoutMs, Consumer<JsonNode> callback) {
-        String address = claim.substring(0, Math.max(0, claim.indexOf(' ')));
-        if (address.isEmpty() || address.equals(settings.peerAddress())) {
-            callback.accept(null);
-            return;
-        }
-        transport.call(
-                address,
-                "operation",
-                JsonNodeFactory.instance
-                        .objectNode()
-                        .put("register", register)
-                        .put("claim", claim)
-                        .put("print", fingerprint),
-                timeoutMs,
-                callback);
-    }
-
     private ObjectNode describeConfiguration(long epoch, String stamp) {
         RoutingConfiguration configuration = shadowCommit.realConfiguration();
         return configuration == null || !configuration.matches(epoch, stamp)
@@ -609,9 +525,8 @@
                 .put("open", admissions.isAccepting())
                 .put("load", admissions.load())
                 .put("capacity", admissions.capacity())
-                .put("sides", endpointDirectory.proxyCount())
-                .put("operations", idempotencyTable.size())
-                .put("answerBytes", idempotencyTable.storedBytes());
+                .put("sides", endpointDirectory.proxyCount());
+        tenancy.describe(status);
         var servers = status.putArray("servers");
         admissions.serverIds().forEach(servers::add);
         if (shadowCommit.shadowConfiguration() != null) {
@@ -633,7 +548,7 @@
      */
     public void shutDownGracefully(long timeoutMs) {
         isShuttingDown = true;
-        answerReplicator.hurry();
+        tenancy.beginShutdown();
         clock.schedule((long) (timeoutMs * SHUTDOWN_SERVING_SHARE), this::leave);
     }
 
@@ -644,7 +559,7 @@
 
     /** Whether answers wait that no controller has a copy of yet. */
     public boolean hasUncopiedAnswers() {
-        return !answerReplicator.isIdle();
+        return tenancy.hasUncopiedAnswers();
     }
 
     /** The controllers that keep copies of answers: the session's first, which is mostly in the own zone. */
--- a/src/main/java/bramblespool/coordination/controller/AdmissionRequest.java
+++ b/src/main/java/bramblespool/coordination/tenancy/AdmissionRequest.java
@@ -1,4 +1,4 @@
-package bramblespool.coordination.controller;
+package bramblespool.coordination.tenancy;
 
 /**
  * A proxy asks whether a request may go on.
@@ -7,4 +7,4 @@
  * @param claim of the request's idempotency key; null where it has none
  * @param timeoutMs how long the proxy waits for the response
  */
-record AdmissionRequest(TokenRequest tokenRequest, IdempotencyClaim claim, long timeoutMs) {}
+public record AdmissionRequest(TokenRequest tokenRequest, IdempotencyClaim claim, long timeoutMs) {}
--- a/src/main/java/bramblespool/coordination/tenancy/HeldLease.java
+++ b/src/main/java/bramblespool/coordination/tenancy/HeldLease.java
@@ -87,9 +87,9 @@
         long askedAtMs = clock.nowMs();
         String askedId = id;
         LeaseVote vote = voters.newVote();
-        voters.askAll(new LeaseRequest(LeaseRequest.Kind.RENEW, peer), (voter, isGranted) -> {
-            vote.add(voter, isGranted);
-            if (isGranted && vote.hasMajority() && askedId.equals(id)) {
+        voters.askAll(new LeaseRequest(LeaseRequest.Kind.RENEW, peer), (voter, reply) -> {
+            vote.add(voter, reply.isGranted());
+            if (reply.isGranted() && vote.hasMajority() && askedId.equals(id)) {
                 onGranted(askedAtMs);
             }
         });
--- a/src/main/java/bramblespool/coordination/tenancy/LeaseClient.java
+++ b/src/main/java/bramblespool/coordination/tenancy/LeaseClient.java
@@ -7,9 +7,9 @@
 
 /** The voters as a controller asks them about leases: itself, where it is one, directly and the others by message. */
 final class LeaseClient {
-    /** Takes one voter's answer; a silent voter's counts as a refusal. */
+    /** Takes one voter's answer; a silent voter's is {@link LeaseReply#REFUSED}. */
     interface AnswerHandler {
-        void onAnswer(String voter, boolean isGranted);
+        void onAnswer(String voter, LeaseReply reply);
     }
 
     private final ReplicatedState replicatedState;
@@ -44,7 +44,7 @@
     void askAll(LeaseRequest request, AnswerHandler answerHandler) {
         for (String voter : List.copyOf(replicatedState.voterSinceIndexes().keySet())) {
             if (voter.equals(self)) {
-                answerHandler.onAnswer(voter, localGrantor.decide(request));
+                answerHandler.onAnswer(voter, localGrantor.answer(request));
             } else {
                 ask(voter, request, answerHandler);
             }
@@ -57,7 +57,8 @@
                 LeaseCodec.kindOf(request),
                 LeaseCodec.encode(new LeaseRequest.Addressed(voter, replicatedState.votersChangedIndex(), request)),
                 timeoutMs,
-                response -> answerHandler.onAnswer(voter, response != null && LeaseCodec.decodeReply(response)));
+                response -> answerHandler.onAnswer(
+                        voter, response == null ? LeaseReply.REFUSED : LeaseCodec.decodeReply(response)));
     }
 
     /** Whether a request was meant for this voter, under the voters in force here. */
--- a/src/main/java/bramblespool/coordination/tenancy/LeaseCodec.java
+++ b/src/main/java/bramblespool/coordination/tenancy/LeaseCodec.java
@@ -17,6 +17,7 @@
     private static final String TO = "to";
     private static final String VOTERS_EPOCH = "epoch";
     private static final String IS_GRANTED = "ok";
+    private static final String SILENT_MS = "silent";
 
     /** An owner is written as peer address, lease id and fencing token. */
     private static final String OWNER_SEPARATOR = " ";
@@ -51,12 +52,14 @@
                 new LeaseRequest(requestKind, json.path(HOLDER).asText()));
     }
 
-    static ObjectNode encodeReply(boolean isGranted) {
-        return JsonNodeFactory.instance.objectNode().put(IS_GRANTED, isGranted);
+    static ObjectNode encodeReply(LeaseReply reply) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode().put(IS_GRANTED, reply.isGranted());
+        return reply.silentMs() > 0 ? body.put(SILENT_MS, reply.silentMs()) : body;
     }
 
-    static boolean decodeReply(JsonNode json) {
-        return json.path(IS_GRANTED).asBoolean();
+    static LeaseReply decodeReply(JsonNode json) {
+        return new LeaseReply(
+                json.path(IS_GRANTED).asBoolean(), json.path(SILENT_MS).asLong());
     }
 
     static String encodeOwner(ShardOwner owner) {
--- a/src/main/java/bramblespool/coordination/tenancy/LeaseGrantor.java
+++ b/src/main/java/bramblespool/coordination/tenancy/LeaseGrantor.java
@@ -44,6 +44,19 @@
         return request.kind() == LeaseRequest.Kind.RENEW ? grant(request.holder()) : bar(request.holder());
     }
 
+    /** Decides on a request, and says with a bar for how long nothing was granted. */
+    LeaseReply answer(LeaseRequest request) {
+        boolean isGranted = decide(request);
+        boolean isBar = request.kind() == LeaseRequest.Kind.BAR;
+        return new LeaseReply(isGranted, isGranted && isBar ? silentMs(request.holder()) : 0);
+    }
+
+    /** How long ago this voter, or a voter that it does not know of, may have granted the controller a lease. */
+    private long silentMs(String holder) {
+        long lastKnownMs = Math.max(startedAtMs, voterSinceMs);
+        return clock.nowMs() - Math.max(lastKnownMs, grantedAtMs.getOrDefault(holder, lastKnownMs));
+    }
+
     private boolean grant(String holder) {
         long nowMs = clock.nowMs();
         if (barredUntilMs.getOrDefault(holder, nowMs) > nowMs) {
--- a/src/main/java/bramblespool/coordination/tenancy/ShardLeases.java
+++ b/src/main/java/bramblespool/coordination/tenancy/ShardLeases.java
@@ -43,16 +43,12 @@
     private final Map<String, ShardOwner> owners = new HashMap<>();
     /** Shards whose register is being read or written. */
     private final Set<String> acquiringShards = new HashSet<>();
-    /** The shards that this process has taken, see {@link #ownershipTerm}. */
-    private final Map<String, Ownership> ownerships = new HashMap<>();
+    /** The shards that this process has taken, see {@link #ownership}. */
+    private final Map<String, ShardOwnership> ownerships = new HashMap<>();
 
+    private final long startedAtMs;
     private long lastOwnershipTerm;
 
-    /** One time that this process took a shard from somebody else, or as the first owner. */
-    private record Ownership(long term, boolean isFirst) {
-        static final Ownership NONE = new Ownership(0, false);
-    }
-
     /** @param self this controller's member id */
     public ShardLeases(
             ReplicatedState replicatedState,
@@ -65,6 +61,7 @@
         this.registerProposer = registerProposer;
         this.peer = RaftNode.addressOf(self);
         this.clock = clock;
+        this.startedAtMs = clock.nowMs();
         this.timings = timings;
         this.log = log;
         this.grantor = new LeaseGrantor(clock, timings);
@@ -89,8 +86,8 @@
             return false;
         }
         LeaseRequest.Addressed message = LeaseCodec.decode(kind, json);
-        boolean isGranted = voters.isForSelf(message) && grantor.decide(message.request());
-        callback.accept(LeaseCodec.encodeReply(isGranted));
+        LeaseReply reply = voters.isForSelf(message) ? grantor.answer(message.request()) : LeaseReply.REFUSED;
+        callback.accept(LeaseCodec.encodeReply(reply));
         return true;
     }
 
@@ -115,16 +112,22 @@
     }
 
     /**
-     * Numbers the times that this process took the shard from somebody else, 0 for never: it knows what it has granted
-     * since then, and nothing of what others granted before.
+     * The last time that this process took the shard from somebody else, or as the first owner: it knows what it has
+     * granted since then, and nothing of what others granted before.
      */
-    public long ownershipTerm(String shard) {
-        return ownerships.getOrDefault(shard, Ownership.NONE).term;
+    public ShardOwnership ownership(String shard) {
+        return ownerships.getOrDefault(shard, new ShardOwnership(shard, 0, false, startedAtMs));
     }
 
-    /** Whether nobody granted anything of this shard before this term, for as long as a register is retained. */
-    public boolean isFirstOwnership(String shard) {
-        return ownerships.getOrDefault(shard, Ownership.NONE).isFirst;
+    /** The ownerships of the shards that this controller owns now. */
+    public Set<ShardOwnership> currentOwnerships() {
+        Set<ShardOwnership> current = new HashSet<>();
+        owners.forEach((shard, owner) -> {
+            if (isOwn(owner)) {
+                current.add(ownership(shard));
+            }
+        });
+        return current;
     }
 
     private boolean isOwn(ShardOwner owner) {
@@ -189,7 +192,7 @@
     private void onOwnerFound(String shard, ShardOwner owner) {
         if (owner.peer().equals(peer)) {
             // An earlier incarnation's, or of this process under a lapsed lease: that it is over nobody knows better.
-            takeFrom(shard, owner);
+            takeFrom(shard, owner, startedAtMs);
             return;
         }
         owners.put(shard, owner);
@@ -203,14 +206,20 @@
     private void barOwner(String shard, ShardOwner owner) {
         LeaseVote vote = voters.newVote();
         boolean[] isDecided = new boolean[1];
-        voters.askAll(new LeaseRequest(LeaseRequest.Kind.BAR, owner.peer()), (voter, isGranted) -> {
-            vote.add(voter, isGranted);
+        long[] lastGrantMs = {Long.MIN_VALUE};
+        voters.askAll(new LeaseRequest(LeaseRequest.Kind.BAR, owner.peer()), (voter, reply) -> {
+            vote.add(voter, reply.isGranted());
             if (isDecided[0]) {
                 return;
             }
+            if (reply.isGranted()) {
+                long silentMs = Math.max(reply.silentMs(), timings.leaseMs());
+                lastGrantMs[0] = Math.max(lastGrantMs[0], clock.nowMs() - silentMs);
+            }
             if (vote.hasMajority()) {
                 isDecided[0] = true;
-                takeFrom(shard, owner);
+                // A majority that granted the owner its last lease shares a voter with this one.
+                takeFrom(shard, owner, lastGrantMs[0] + timings.leaseMs());
             } else if (vote.cannotReachMajority()) {
                 isDecided[0] = true;
                 acquiringShards.remove(shard);
@@ -227,23 +236,27 @@
      */
     private void takeOwnerless(String shard, String currentValue) {
         ShardOwner newOwner = new ShardOwner(peer, lease.id(), clock.wallTimeMs());
-        writeOwner(shard, newOwner, currentValue, () -> beginOwnership(shard, true));
+        writeOwner(shard, newOwner, currentValue, () -> beginOwnership(shard, true, startedAtMs));
     }
 
-    /** Takes a shard over, or writes an own one anew; either raises the fencing token by one. */
-    private void takeFrom(String shard, ShardOwner previousOwner) {
+    /**
+     * Takes a shard over, or writes an own one anew; either raises the fencing token by one.
+     *
+     * @param endedMs when the previous owner's lease had lapsed at the latest
+     */
+    private void takeFrom(String shard, ShardOwner previousOwner, long endedMs) {
         ShardOwner newOwner = new ShardOwner(peer, lease.id(), previousOwner.fencingToken() + 1);
         boolean wasOwn = previousOwner.peer().equals(peer) && lease.isOfThisProcess(previousOwner.leaseId());
         writeOwner(shard, newOwner, LeaseCodec.encodeOwner(previousOwner), () -> {
             if (!wasOwn) {
-                beginOwnership(shard, false);
+                beginOwnership(shard, false, endedMs);
             }
         });
     }
 
-    private void beginOwnership(String shard, boolean isFirst) {
+    private void beginOwnership(String shard, boolean isFirst, long formerOwnerEndedMs) {
         lastOwnershipTerm++;
-        ownerships.put(shard, new Ownership(lastOwnershipTerm, isFirst));
+        ownerships.put(shard, new ShardOwnership(shard, lastOwnershipTerm, isFirst, formerOwnerEndedMs));
     }
 
     private void writeOwner(String shard, ShardOwner newOwner, String expectedValue, Runnable onTaken) {
@@ -264,7 +277,7 @@
         for (String shard : shards) {
             ShardOwner owner = owners.get(shard);
             if (isOwn(owner) && hasLease() && acquiringShards.add(shard)) {
-                takeFrom(shard, owner);
+                takeFrom(shard, owner, startedAtMs);
             }
         }
     }
--- a/src/main/java/bramblespool/coordination/tenancy/TenantRateLimiter.java
+++ b/src/main/java/bramblespool/coordination/tenancy/TenantRateLimiter.java
@@ -3,12 +3,13 @@
 import bramblespool.transport.Clock;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
- * Grants the rate-limit tokens of the shards that are owned here: one token bucket for each tenant, at the shard's
- * owner. A proxy uses a token at once, so what is executed within a window was granted in that window, and the bucket
- * alone keeps the rule. A new owner, or a restarted one, does not know what was granted before and starts with an empty
- * bucket; by then its predecessor's lease has expired. Confined to the event loop.
+ * Grants rate-limit tokens: one token bucket for each tenant, with the owner of its shard or with the proxy to which
+ * the owner has lent it. A proxy uses a token at once, so what is executed within a window was granted in that window,
+ * and the bucket alone keeps the rule. Who does not know what was granted before starts with an empty bucket; by then
+ * the predecessor's lease has expired. Confined to the event loop.
  */
 public final class TenantRateLimiter {
     /**
@@ -16,7 +17,9 @@
      */
     private static final double OWNER_SHARE = 0.2;
     /** Fraction of that allowance that all voters together grant, one share each, while there is no owner. */
-    private static final double FALLBACK_SHARE = 0.75;
+    private static final double VOTERS_FALLBACK_SHARE = 0.15;
+    /** Fraction of that allowance that the shard's owner grants while it cannot know or reach the bucket's holder. */
+    private static final double OWNER_FALLBACK_SHARE = 0.6;
     /** After a denial a proxy waits at least the window divided by this before it asks again for the tenant. */
     private static final int MIN_WAIT_DIVISOR = 100;
     /** It waits longer in proportion to the ratio of denials, by up to the window divided by this. */
@@ -31,7 +34,6 @@
         private double burst;
         private double tokens;
         private long refilledAtMs;
-        private long deniedCount;
         private double denialRatio;
     }
 
@@ -41,7 +43,9 @@
     private final double burstAllowance;
     private final long startedAtMs;
     private final Map<String, TokenBucket> buckets = new HashMap<>();
-    private final Map<String, TokenBucket> fallbackBuckets = new HashMap<>();
+    private final Map<String, TokenBucket> votersFallbackBuckets = new HashMap<>();
+    private final Map<String, TokenBucket> ownersFallbackBuckets = new HashMap<>();
+    private final Map<String, Long> deniedCounts = new HashMap<>();
 
     /**
      * @param windowMs the rule's window
@@ -77,40 +81,98 @@
             bucket.tokens = isFirstOwner ? capacity(bucket) : 1;
             bucket.refilledAtMs = nowMs;
         }
-        bucket.tokens = Math.min(
-                capacity(bucket),
-                bucket.tokens
-                        + (nowMs - bucket.refilledAtMs) / 1000.0 * bucket.ratePerS * (1 + excessRatio * OWNER_SHARE));
-        bucket.refilledAtMs = nowMs;
+        refill(bucket);
         boolean isGranted = bucket.tokens >= 1;
         bucket.denialRatio += DENIAL_SMOOTHING * ((isGranted ? 0 : 1) - bucket.denialRatio);
         if (isGranted) {
             bucket.tokens--;
             return 0;
         }
-        bucket.deniedCount++;
+        deniedCounts.merge(tenant, 1L, Long::sum);
         // The further a tenant is over its limit, the longer each proxy rejects its requests by itself: one tenant's
         // excess must not take up the owner.
         long waitMs = windowMs / MIN_WAIT_DIVISOR + (long) (bucket.denialRatio * windowMs / MAX_WAIT_DIVISOR);
         return (long) (waitMs * (0.75 + clock.random() / 2));
     }
 
+    private void refill(TokenBucket bucket) {
+        long nowMs = clock.nowMs();
+        double gained = (nowMs - bucket.refilledAtMs) / 1000.0 * bucket.ratePerS * (1 + excessRatio * OWNER_SHARE);
+        bucket.tokens = Math.min(capacity(bucket), bucket.tokens + gained);
+        bucket.refilledAtMs = nowMs;
+    }
+
+    /**
+     * Gives up the buckets of some tenants, whose tokens are granted elsewhere from now on.
+     *
+     * @return what is left in those that were used in this term
+     */
+    Map<String, Double> removeBuckets(Predicate<String> isRemoved, long ownershipTerm) {
+        Map<String, Double> tokens = new HashMap<>();
+        buckets.entrySet().removeIf(entry -> {
+            TokenBucket bucket = entry.getValue();
+            if (!isRemoved.test(entry.getKey())) {
+                return false;
+            }
+            if (bucket.ownershipTerm == ownershipTerm) {
+                refill(bucket);
+                tokens.put(entry.getKey(), bucket.tokens);
+            }
+            return true;
+        });
+        return tokens;
+    }
+
+    /** Takes over what another one has left in buckets; from now on they are granted here, in this term. */
+    void putBuckets(Map<String, Double> tokens, long ownershipTerm) {
+        tokens.forEach((tenant, left) -> {
+            TokenBucket bucket = new TokenBucket();
+            bucket.ownershipTerm = ownershipTerm;
+            bucket.tokens = left;
+            bucket.refilledAtMs = clock.nowMs();
+            buckets.put(tenant, bucket);
+        });
+    }
+
     /**
-     * Takes a token of this voter's share, where the shard has no owner to ask. The bucket holds half of the share and
-     * gains half of it in a window, so no window has more than the share.
+     * Takes a token of this voter's share, where the shard has no owner to ask.
      *
      * @param shareCount the number of voters
      */
-    public boolean takeFallbackToken(String tenant, int shareCount, double ratePerS, double burst) {
+    public boolean takeVoterFallbackToken(String tenant, int shareCount, double ratePerS, double burst) {
+        double share = allowance(ratePerS, burst) * VOTERS_FALLBACK_SHARE / shareCount;
+        // Empty: a new process does not know what an earlier one has spent.
+        return takeShareToken(votersFallbackBuckets, tenant, 0, startedAtMs, share);
+    }
+
+    /**
+     * Takes a token of the share of the shard's owner, where a proxy has the bucket and cannot be reached, or is not
+     * known.
+     *
+     * @param ownershipTerm the term of owning the shard
+     * @param ownedSinceMs when that began; what a former owner has spent before is not known
+     */
+    public boolean takeOwnerFallbackToken(
+            String tenant, long ownershipTerm, long ownedSinceMs, double ratePerS, double burst) {
+        double share = allowance(ratePerS, burst) * OWNER_FALLBACK_SHARE;
+        return takeShareToken(ownersFallbackBuckets, tenant, ownershipTerm, ownedSinceMs, share);
+    }
+
+    /** How many tokens the rule allows in a window beyond the limit. */
+    private double allowance(double ratePerS, double burst) {
+        return (ratePerS * windowMs / 1000 + burst) * excessRatio + burstAllowance;
+    }
+
+    /** The bucket holds half of the share and gains half of it in a window, so no window has more than the share. */
+    private boolean takeShareToken(
+            Map<String, TokenBucket> shareBuckets, String tenant, long term, long emptySinceMs, double share) {
         long nowMs = clock.nowMs();
-        double share =
-                ((ratePerS * windowMs / 1000 + burst) * excessRatio + burstAllowance) * FALLBACK_SHARE / shareCount;
-        TokenBucket bucket = fallbackBuckets.get(tenant);
-        if (bucket == null) {
+        TokenBucket bucket = shareBuckets.get(tenant);
+        if (bucket == null || bucket.ownershipTerm != term) {
             bucket = new TokenBucket();
-            // Empty: a new process does not know what an earlier one has spent.
-            bucket.refilledAtMs = Math.max(startedAtMs, nowMs - windowMs);
-            fallbackBuckets.put(tenant, bucket);
+            bucket.ownershipTerm = term;
+            bucket.refilledAtMs = Math.max(emptySinceMs, nowMs - windowMs);
+            shareBuckets.put(tenant, bucket);
         }
         bucket.tokens =
                 Math.min(share / 2, bucket.tokens + (double) (nowMs - bucket.refilledAtMs) / windowMs * share / 2);
@@ -128,12 +190,6 @@
 
     /** How many tokens were denied here, by tenant; tenants without a denial are left out. */
     public Map<String, Long> deniedCounts() {
-        Map<String, Long> counts = new HashMap<>();
-        buckets.forEach((tenant, bucket) -> {
-            if (bucket.deniedCount > 0) {
-                counts.put(tenant, bucket.deniedCount);
-            }
-        });
-        return counts;
+        return Map.copyOf(deniedCounts);
     }
 }
--- a/src/main/java/bramblespool/coordination/traffic/OverloadDetector.java
+++ b/src/main/java/bramblespool/coordination/traffic/OverloadDetector.java
@@ -3,6 +3,7 @@
 import bramblespool.state.EventLog;
 import bramblespool.state.EventLog.Event;
 import bramblespool.transport.Clock;
+import java.util.function.Supplier;
 
 /**
  * Detects overload of this process by the lateness of its own timers, which shows how much work is queued on the event
@@ -14,6 +15,7 @@
     private final long checkIntervalMs;
     private final long thresholdMs;
     private final EventLog log;
+    private Supplier<String> loadDescription = () -> "";
     private long dueMs;
     private long latenessMs;
     private boolean isOverloaded;
@@ -29,6 +31,11 @@
         this.log = log;
     }
 
+    /** Sets what is logged of the load at the beginning of an overload. */
+    public void describeLoadBy(Supplier<String> description) {
+        loadDescription = description;
+    }
+
     /** Starts to measure, until the event loop ends. */
     public void start() {
         dueMs = clock.nowMs() + checkIntervalMs;
@@ -40,7 +47,7 @@
         latenessMs = Math.max(clock.nowMs() - dueMs, latenessMs * 3 / 4);
         if (!isOverloaded && latenessMs >= thresholdMs) {
             isOverloaded = true;
-            log.log(Event.OVERLOADED, "lateMs", latenessMs);
+            log.log(Event.OVERLOADED, "lateMs", latenessMs, "messages", loadDescription.get());
         } else if (isOverloaded && latenessMs < thresholdMs / 4) {
             isOverloaded = false;
             log.log(Event.OVERLOAD_CLEARED);
--- a/src/main/java/bramblespool/state/EventLog.java
+++ b/src/main/java/bramblespool/state/EventLog.java
@@ -57,6 +57,8 @@
         USAGE_REPORT_FENCED(314, Level.WARN),
         CONFIGURATION_UNCONFIRMED(315, Level.WARN),
         CONFIGURATION_CONFIRMED(316, Level.INFO),
+        BUCKETS_ACQUIRED(317, Level.DEBUG),
+        BUCKETS_LOST(318, Level.INFO),
         ELECTION_STARTED(401, Level.INFO),
         LEADER_ELECTED(402, Level.INFO),
         STEPPED_DOWN(403, Level.WARN),
--- a/src/test/java/bramblespool/coordination/controller/PeerMessageCodecsTest.java
+++ b/src/test/java/bramblespool/coordination/controller/PeerMessageCodecsTest.java
@@ -5,7 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
-import bramblespool.coordination.controller.AdmissionResponse.ShardOwner;
+import bramblespool.coordination.tenancy.AdmissionCodec;
+import bramblespool.coordination.tenancy.AdmissionRequest;
+import bramblespool.coordination.tenancy.AdmissionResponse;
+import bramblespool.coordination.tenancy.AdmissionResponse.ShardOwner;
+import bramblespool.coordination.tenancy.IdempotencyClaim;
+import bramblespool.coordination.tenancy.TokenRequest;
 import bramblespool.raft.MemberProgress;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -84,11 +89,10 @@
                 "{'verdict':'none'}",
                 "{'owner':'10.0.0.1:7000','fence':1001001186,'verdict':'go'}",
                 "{'owner':'10.0.0.1:7000','fence':1001001186,'verdict':'over','wait':71}")) {
-            assertEncoded(text, admissionCodec.encodeResponse(admissionCodec.decodeTokenResponse(json(text))));
+            assertEncoded(text, admissionCodec.encodeResponse(admissionCodec.decodeResponse(json(text))));
         }
         assertEquals(
-                AdmissionResponse.UNDECIDED,
-                admissionCodec.decodeTokenResponse(json("{'verdict':'of a later version'}")));
+                AdmissionResponse.UNDECIDED, admissionCodec.decodeResponse(json("{'verdict':'of a later version'}")));
     }
 
     @Test
@@ -139,7 +143,7 @@
     @Test
     void gossipOfAController() {
         assertEncoded(
-                "{'peer':'10.0.0.1:7000','control':'10.0.0.1:8000','zone':'a','gone':false,'voter':true}",
+                "{'peer':'10.0.0.1:7000','control':'10.0.0.1:8000','zone':'a','gone':false,'voter':true,'lends':true}",
                 GossipPayloadCodec.encodeController(ControllerTestContext.settings(), false, true));
         assertEncoded("{'on':true}", GossipPayloadCodec.encodeEvacuation(true));
     }
@@ -181,7 +185,7 @@
                     admissionCodec.encodeTokenRequest(AdmissionCodec.TOKEN_CODEC.decodeRequest(request)));
             assertEncoded(
                     answer.toString(),
-                    AdmissionCodec.TOKEN_CODEC.encodeResponse(admissionCodec.decodeTokenResponse(answer)));
+                    AdmissionCodec.TOKEN_CODEC.encodeResponse(admissionCodec.decodeResponse(answer)));
         }
         for (JsonNode exchange : recorded("lease")) {
             JsonNode answer = exchange.path("answer");
--- a/src/test/java/bramblespool/coordination/tenancy/AdmissionClientTest.java
+++ b/src/test/java/bramblespool/coordination/tenancy/AdmissionClientTest.java
@@ -5,6 +5,7 @@
 
 import bramblespool.coordination.tenancy.AdmissionClient.Decision;
 import bramblespool.coordination.tenancy.AdmissionClient.Verdict;
+import bramblespool.state.EventLog;
 import bramblespool.state.Tenant;
 import bramblespool.testing.FakeClock;
 import bramblespool.testing.FakeTransport;
@@ -18,13 +19,23 @@
 
 class AdmissionClientTest {
     private static final long QUIET_MS = 3000;
+    private static final List<String> CONTROLLERS = List.of("a:1", "b:1", "c:1");
     private static final long TIMEOUT_MS = 400;
     private static final Tenant LIMITED = new Tenant("t", 0, 10, 5);
 
     private final FakeClock clock = new FakeClock();
     private final FakeTransport transport = new FakeTransport();
-    private final AdmissionClient client =
-            new AdmissionClient(clock, transport, () -> List.of("a:1", "b:1", "c:1"), QUIET_MS);
+    private final ControllerSelector controllers =
+            new ControllerSelector(clock, () -> CONTROLLERS, () -> CONTROLLERS, QUIET_MS);
+    private final BucketHolder buckets = new BucketHolder(
+            clock,
+            transport,
+            "p:1 run",
+            controllers,
+            new TenantRateLimiter(clock, 5000, 0.1, 20),
+            BucketLeaseTimings.of(QUIET_MS),
+            EventLog.silent());
+    private final AdmissionClient client = new AdmissionClient(clock, transport, controllers, buckets, QUIET_MS);
     private final List<Verdict> verdicts = new ArrayList<>();
 
     private Call admit(Tenant limit, String registerId) {
--- a/src/test/java/bramblespool/coordination/tenancy/HeldLeaseTest.java
+++ b/src/test/java/bramblespool/coordination/tenancy/HeldLeaseTest.java
@@ -44,7 +44,7 @@
         assertEquals(List.of("b:1", "c:1"), calls.stream().map(Call::address).toList());
         assertFalse(lease.isValid(), "its own grant is no majority");
         clock.advance(80);
-        calls.get(1).callback().accept(LeaseCodec.encodeReply(true));
+        calls.get(1).callback().accept(LeaseCodec.encodeReply(new LeaseReply(true, 0)));
         assertTrue(lease.isValid());
         clock.advance(10);
         assertFalse(lease.isValid(), "nine tenths of a lease after it asked");
@@ -53,7 +53,7 @@
     @Test
     void refusalAndSilenceAreNoGrants() {
         List<Call> calls = renew();
-        calls.get(0).callback().accept(LeaseCodec.encodeReply(false));
+        calls.get(0).callback().accept(LeaseCodec.encodeReply(LeaseReply.REFUSED));
         calls.get(1).callback().accept(null);
         assertFalse(lease.isValid());
     }
@@ -64,7 +64,7 @@
         String formerId = lease.id();
         List<Call> calls = renew();
         lease.giveUp();
-        calls.forEach(call -> call.callback().accept(LeaseCodec.encodeReply(true)));
+        calls.forEach(call -> call.callback().accept(LeaseCodec.encodeReply(new LeaseReply(true, 0))));
         assertFalse(lease.isValid());
         assertNotEquals(formerId, lease.id());
         assertTrue(lease.isOfThisProcess(formerId));
--- a/src/test/java/bramblespool/coordination/tenancy/LeaseCodecTest.java
+++ b/src/test/java/bramblespool/coordination/tenancy/LeaseCodecTest.java
@@ -28,9 +28,14 @@
 
     @Test
     void replies() {
-        assertEquals("{\"ok\":true}", LeaseCodec.encodeReply(true).toString());
-        assertTrue(LeaseCodec.decodeReply(LeaseCodec.encodeReply(true)));
-        assertFalse(LeaseCodec.decodeReply(LeaseCodec.encodeReply(false)));
+        LeaseReply granted = new LeaseReply(true, 0);
+        LeaseReply barred = new LeaseReply(true, 812);
+        assertEquals("{\"ok\":true}", LeaseCodec.encodeReply(granted).toString());
+        assertEquals(
+                "{\"ok\":true,\"silent\":812}", LeaseCodec.encodeReply(barred).toString());
+        assertEquals(granted, LeaseCodec.decodeReply(LeaseCodec.encodeReply(granted)));
+        assertEquals(barred, LeaseCodec.decodeReply(LeaseCodec.encodeReply(barred)));
+        assertEquals(LeaseReply.REFUSED, LeaseCodec.decodeReply(LeaseCodec.encodeReply(LeaseReply.REFUSED)));
     }
 
     @Test
--- a/src/test/java/bramblespool/coordination/tenancy/TenantsOfOneShard.java
+++ b/src/test/java/bramblespool/coordination/tenancy/TenantsOfOneShard.java
@@ -10,7 +10,7 @@
     public static String sharingShardWith(String tenant) {
         return IntStream.iterate(0, i -> i + 1)
                 .mapToObj(i -> "near" + i)
-                .filter(t -> AdmissionClient.shardOf(t).equals(AdmissionClient.shardOf(tenant)))
+                .filter(t -> TenantSharding.shardOf(t).equals(TenantSharding.shardOf(tenant)))
                 .findFirst()
                 .orElseThrow();
     }
--- a/src/test/java/bramblespool/model/Mutants.java
+++ b/src/test/java/bramblespool/model/Mutants.java
@@ -43,6 +43,7 @@
     private static final String REQUEST_ADMISSION = "coordination/tenancy/RequestAdmission.java";
     private static final String ANSWER_REPLICA = "coordination/answer/AnswerReplica.java";
     private static final String DATA_PLANE_NODE = "coordination/dataplane/DataPlaneNode.java";
+    private static final String PROXY_TENANCY = "coordination/dataplane/ProxyTenancy.java";
 
     private static final List<Mutant> ELECTION = List.of(
             Mutant.of("votes twice in a term", MIX)
@@ -248,7 +249,7 @@
                             "if (operation.state == State.IDLE) {",
                             "if (operation.state == State.IDLE || operation.state == State.CLAIMING) {"),
             Mutant.of("an answer has no copies", KEYED)
-                    .replacing(DATA_PLANE_NODE, "idempotencyTable.onExecuted(answerReplicator::add);", ""),
+                    .replacing(PROXY_TENANCY, "idempotencyTable.onExecuted(answerReplicator::add);", ""),
             Mutant.of("an answer is acknowledged with one copy", KEYED)
                     .replacing(ANSWER_REPLICA, "missingCopies = furtherCopies + 1;", "missingCopies = 1;")
                     .replacing(ANSWER_REPLICA, "i < furtherCopies", "i < 0"),
