--- a/src/test/java/bramblespool/coordination/controller/PeerMessageCodecsTest.java
+++ b/src/test/java/bramblespool/coordination/controller/PeerMessageCodecsTest.java
@@ -9,6 +9,9 @@
 import bramblespool.coordination.tenancy.AdmissionRequest;
 import bramblespool.coordination.tenancy.AdmissionResponse;
 import bramblespool.coordination.tenancy.AdmissionResponse.ShardOwner;
+import bramblespool.coordination.tenancy.BucketGrant;
+import bramblespool.coordination.tenancy.BucketMap;
+import bramblespool.coordination.tenancy.BucketQuery;
 import bramblespool.coordination.tenancy.IdempotencyClaim;
 import bramblespool.coordination.tenancy.TokenRequest;
 import bramblespool.raft.MemberProgress;
@@ -109,6 +112,26 @@
                 admissionCodec.encodeResponse(granted.withVerdict(new AdmissionResponse.Undecided())));
     }
 
+    @Test
+    void lentBucketsInRequestsAndResponses() {
+        TokenRequest request = new TokenRequest("tenants/1", "t", 1, 0.2, 5, new BucketQuery("a:1 run", "b:1", 77));
+        assertEquals(request, AdmissionCodec.TOKEN_CODEC.decodeRequest(admissionCodec.encodeTokenRequest(request)));
+        assertEncoded(
+                "{'slice':'tenants/1','tenant':'t','epoch':1,'rate':0.2,'burst':5.0,'query':{'known':0}}",
+                admissionCodec.encodeTokenRequest(
+                        new TokenRequest("tenants/1", "t", 1, 0.2, 5, new BucketQuery(null, null, 0))));
+        AdmissionResponse response = new AdmissionResponse(
+                        new AdmissionResponse.Unavailable(250), new ShardOwner("10.0.0.2:7000", 1183))
+                .withBucketGrant(new BucketGrant(3000, true, false, Map.of("t", 2.5)))
+                .withBucketMap(new BucketMap(78, Map.of("tenants/1/0", "c:1")));
+        assertEncoded(
+                "{'owner':'10.0.0.2:7000','fence':1183,'verdict':'later','wait':250,"
+                        + "'grant':{'ms':3000,'kept':true,'full':false,'tokens':[{'tenant':'t','left':2.5}]},"
+                        + "'buckets':{'version':78,'at':[{'group':'tenants/1/0','peer':'c:1'}]}}",
+                admissionCodec.encodeResponse(response));
+        assertEquals(response, admissionCodec.decodeResponse(admissionCodec.encodeResponse(response)));
+    }
+
     @Test
     void retryLease() {
         assertEquals(new RetryLeaseRequest("desk", false), retryLeaseCodec.decodeRequest(json("{'service':'desk'}")));
--- a/src/test/java/bramblespool/coordination/tenancy/AdmissionClientTest.java
+++ b/src/test/java/bramblespool/coordination/tenancy/AdmissionClientTest.java
@@ -1,7 +1,9 @@
 package bramblespool.coordination.tenancy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import bramblespool.coordination.tenancy.AdmissionClient.Decision;
 import bramblespool.coordination.tenancy.AdmissionClient.Verdict;
@@ -103,4 +105,113 @@
         assertEquals(List.of(Verdict.ADMITTED, Verdict.ADMITTED), verdicts);
         assertEquals("c:1", admit(LIMITED, null).address());
     }
+
+    // ---- buckets that proxies hold
+
+    private static final String GROUP = TenantSharding.groupOf("t");
+
+    private static ObjectNode undecidedWithHolder(String holder, long version) {
+        ObjectNode response = ownerResponse("b:1", 6).put("verdict", "none");
+        response.putObject("buckets")
+                .put("version", version)
+                .putArray("at")
+                .addObject()
+                .put("group", GROUP)
+                .put("peer", holder);
+        return response;
+    }
+
+    private static ObjectNode grant() {
+        ObjectNode response = ownerResponse("b:1", 6).put("verdict", "none");
+        response.putObject("grant")
+                .put("ms", 1800)
+                .put("kept", false)
+                .put("full", true)
+                .putArray("tokens");
+        return response;
+    }
+
+    private void learnHolder(String holder) {
+        Call first = admit(LIMITED, null);
+        assertEquals("admit", first.kind());
+        first.callback().accept(undecidedWithHolder(holder, 9));
+        nextCall().callback().accept(response("go"));
+        verdicts.clear();
+    }
+
+    @Test
+    void tokenComesFromTheProxyThatHoldsTheBucketAndTheKeyFromAController() {
+        learnHolder("h:1");
+        Call token = admit(LIMITED, "1/k");
+        assertEquals("h:1", token.address());
+        assertEquals("token", token.kind());
+        token.callback().accept(response("go"));
+        Call claim = nextCall();
+        assertEquals("admit", claim.kind());
+        assertEquals("1/k", claim.body().path("register").asText());
+        assertFalse(claim.body().has("tenant"), "the token is there");
+        claim.callback().accept(response("go"));
+        assertEquals(List.of(Verdict.ADMITTED), verdicts);
+    }
+
+    @Test
+    void tenantOverItsLimitReservesNoKey() {
+        learnHolder("h:1");
+        admit(LIMITED, "1/k").callback().accept(response("over").put("wait", 50));
+        assertEquals(List.of(Verdict.RATE_LIMITED), verdicts);
+        client.admit("t", LIMITED, 1, "1/k", "claim", null, TIMEOUT_MS, this::onDecision);
+        assertTrue(transport.take().isEmpty(), "nobody is asked while the tenant waits");
+        assertEquals(List.of(Verdict.RATE_LIMITED, Verdict.RATE_LIMITED), verdicts);
+    }
+
+    /** Guards against SHORT: a lost holder costs each proxy one time-out, and not each request. */
+    @Test
+    void ownerIsToldOfASilentHolderWhichIsNotAskedAgainForAWhile() {
+        learnHolder("h:1");
+        admit(LIMITED, null).callback().accept(null);
+        Call toOwner = nextCall();
+        assertEquals("b:1", toOwner.address());
+        assertEquals("h:1", toOwner.body().path("query").path("avoid").asText());
+        assertEquals(9, toOwner.body().path("query").path("known").asLong());
+        toOwner.callback().accept(ownerResponse("b:1", 6));
+        assertEquals(List.of(Verdict.ADMITTED), verdicts);
+        assertEquals("b:1", admit(LIMITED, null).address());
+        clock.advance(QUIET_MS / 5);
+        assertEquals("h:1", admit(LIMITED, null).address());
+    }
+
+    @Test
+    void lentBucketsServeThisProxyWithoutAMessage() {
+        Call first = admit(LIMITED, null);
+        assertEquals("p:1 run", first.body().path("query").path("candidate").asText());
+        first.callback().accept(grant());
+        client.admit("t", LIMITED, 1, null, null, null, TIMEOUT_MS, this::onDecision);
+        assertTrue(transport.take().isEmpty());
+        assertEquals(List.of(Verdict.ADMITTED, Verdict.ADMITTED), verdicts);
+    }
+
+    /** Guards against SHORT: what an overloaded controller refuses is not asked of the next one. */
+    @Test
+    void unavailableEndsTheAdmissionAtOnce() {
+        admit(LIMITED, "1/k").callback().accept(response("later").put("wait", 300));
+        assertTrue(transport.take().isEmpty());
+        assertEquals(List.of(Verdict.UNKNOWN), verdicts);
+    }
+
+    /** Guards against SHORT: five messages for one request were what kept overloaded controllers down. */
+    @Test
+    void requestsThatFailAreHardlyRepeated() {
+        int calls = 0;
+        for (int i = 0; i < 40; i++) {
+            client.admit("t", LIMITED, 1, "1/k" + i, "claim", null, TIMEOUT_MS, this::onDecision);
+            for (List<Call> asked = transport.take(); !asked.isEmpty(); asked = transport.take()) {
+                calls += asked.size();
+                clock.advance(60);
+                asked.forEach(call -> call.callback().accept(null));
+            }
+            clock.advance(20);
+        }
+        assertEquals(40, verdicts.size());
+        assertTrue(calls <= 50, calls + " calls for 40 requests");
+    }
 }
