Lent buckets: not to proxies that have just started, and shorter waits

A proxy that has just started is slow, and so would be each token from it; it takes no buckets for the length of a lease. A holder that gave no answer is avoided for a twentieth of quiet in place of a fifth: it may be merely late, and the owner's fallback grants only a part.

--- a/src/main/java/bramblespool/coordination/controller/AdmissionHandler.java
+++ b/src/main/java/bramblespool/coordination/controller/AdmissionHandler.java
@@ -30,6 +30,8 @@
 
     /** A request is not decided on any more where the timers are late by its time-out divided by this. */
     private static final int LATENESS_DIVISOR = 2;
+    /** Ratio to a call's time-out of the wait that is advised then. */
+    private static final int SHED_WAIT_DIVISOR = 3;
 
     private final LocalController local;
     private final Clock clock;
@@ -63,7 +65,8 @@
     /** Decides on a proxy's request; the token comes first, and without one nothing is claimed. */
     void admit(AdmissionRequest request, Responder<AdmissionResponse> responder) {
         if (isTooLateFor(request)) {
-            responder.respond(new AdmissionResponse(new AdmissionResponse.Unavailable(context.callTimeoutMs()), null));
+            responder.respond(new AdmissionResponse(
+                    new AdmissionResponse.Unavailable(context.callTimeoutMs() / SHED_WAIT_DIVISOR), null));
             return;
         }
         TokenRequest tokenRequest = request.tokenRequest();
--- a/src/main/java/bramblespool/coordination/controller/TokenIssuer.java
+++ b/src/main/java/bramblespool/coordination/controller/TokenIssuer.java
@@ -20,7 +20,9 @@
  */
 final class TokenIssuer {
     /** Ratio to a call's time-out of the wait that is advised where a bucket's holder is out of reach. */
-    private static final int UNAVAILABLE_WAIT_DIVISOR = 2;
+    private static final int UNAVAILABLE_WAIT_DIVISOR = 3;
+    /** Ratio to it of the time for which the holder is waited for, on behalf of who cannot ask it. */
+    private static final int HOLDER_TIMEOUT_DIVISOR = 4;
 
     private final ControllerContext context;
     private final ShardLeases shardLeases;
@@ -128,7 +130,7 @@
                             holder,
                             AdmissionCodec.TOKEN_KIND,
                             AdmissionCodec.INSTANCE.encodeTokenRequest(request),
-                            Math.max(1, context.callTimeoutMs() / UNAVAILABLE_WAIT_DIVISOR),
+                            Math.max(1, context.callTimeoutMs() / HOLDER_TIMEOUT_DIVISOR),
                             body -> {
                                 AdmissionResponse response =
                                         body == null ? undecided : AdmissionCodec.INSTANCE.decodeResponse(body);
--- a/src/main/java/bramblespool/coordination/tenancy/BucketDirectory.java
+++ b/src/main/java/bramblespool/coordination/tenancy/BucketDirectory.java
@@ -8,16 +8,16 @@
  * Which proxies hold which token buckets, as far as their owners have told this proxy. Confined to the event loop.
  */
 final class BucketDirectory {
-    /** A holder that did not answer is avoided for {@code quiet} divided by this. */
-    private static final int SILENCE_DIVISOR = 5;
-    /** A holder that has the buckets no more is avoided for {@code quiet} divided by this: it may get them again. */
-    private static final int REFUSAL_DIVISOR = 20;
+    /**
+     * A holder that did not answer, or does not have the buckets, is avoided for {@code quiet} divided by this: it may
+     * be merely late, or get them again.
+     */
+    private static final int AVOIDANCE_DIVISOR = 20;
 
     private record Entry(String shardOwner, String holder) {}
 
     private final Clock clock;
-    private final long silenceMs;
-    private final long refusalMs;
+    private final long avoidanceMs;
     private final Map<String, Entry> entries = new HashMap<>();
     private final Map<String, Long> versions = new HashMap<>();
     /** Until when a holder is avoided, for all groups or for one. */
@@ -25,8 +25,7 @@
 
     BucketDirectory(Clock clock, long quietMs) {
         this.clock = clock;
-        this.silenceMs = quietMs / SILENCE_DIVISOR;
-        this.refusalMs = quietMs / REFUSAL_DIVISOR;
+        this.avoidanceMs = quietMs / AVOIDANCE_DIVISOR;
     }
 
     /** Takes a shard owner's map in place of its last one. */
@@ -56,10 +55,10 @@
     }
 
     void onSilent(String holder) {
-        avoidedUntilMs.put(holder, clock.nowMs() + silenceMs);
+        avoidedUntilMs.put(holder, clock.nowMs() + avoidanceMs);
     }
 
     void onRefused(String group, String holder) {
-        avoidedUntilMs.put(holder + group, clock.nowMs() + refusalMs);
+        avoidedUntilMs.put(holder + group, clock.nowMs() + avoidanceMs);
     }
 }
--- a/src/main/java/bramblespool/coordination/tenancy/BucketHolder.java
+++ b/src/main/java/bramblespool/coordination/tenancy/BucketHolder.java
@@ -47,6 +47,7 @@
     /** Numbers the times that this proxy has begun to hold a group without knowing what was granted before. */
     private long lastTerm;
 
+    private final long startedAtMs;
     private boolean isReturning;
 
     /**
@@ -68,6 +69,7 @@
         this.rateLimiter = rateLimiter;
         this.timings = timings;
         this.log = log;
+        this.startedAtMs = clock.nowMs();
     }
 
     /** Begins to renew leases. */
@@ -75,9 +77,13 @@
         clock.scheduleRepeatedly(timings.renewalMs(), this::renewAll);
     }
 
-    /** How this proxy names itself as a possible holder; null where it takes no buckets. */
+    /**
+     * How this proxy names itself as a possible holder; null where it takes no buckets: it is shutting down, or has just
+     * started and is slow.
+     */
     String candidate() {
-        return isReturning ? null : holderId;
+        boolean hasJustStarted = clock.nowMs() - startedAtMs < timings.leaseMs();
+        return isReturning || hasJustStarted ? null : holderId;
     }
 
     /** Whether this proxy may grant tokens of the group now. */
--- a/src/main/java/bramblespool/coordination/tenancy/PendingAdmission.java
+++ b/src/main/java/bramblespool/coordination/tenancy/PendingAdmission.java
@@ -18,6 +18,8 @@
     private static final long MIN_TIMEOUT_MS = 5;
     /** So many calls are made for one admission at most. */
     private static final int MAX_CALLS = 5;
+    /** The least factor by which a time to try again is varied; the greatest lies as far above 1. */
+    private static final double MIN_JITTER = 0.75;
 
     /**
      * What all admissions of a proxy share.
@@ -80,7 +82,13 @@
     }
 
     private void giveUp() {
-        finish(Verdict.UNKNOWN, context.timings().retryDelayMs(), null);
+        finishUnknown(context.timings().clientRetryMs());
+    }
+
+    /** The client may try again after about this time: not all of them at one moment. */
+    private void finishUnknown(long waitMs) {
+        double jitter = MIN_JITTER + clock.random() * (1 - MIN_JITTER) * 2;
+        finish(Verdict.UNKNOWN, Math.max(1, (long) (waitMs * jitter)), null);
     }
 
     private long remainingMs() {
@@ -215,7 +223,7 @@
 
     private void onVerdict(AdmissionResponse.Verdict verdict) {
         if (verdict instanceof AdmissionResponse.Unavailable unavailable) {
-            finish(Verdict.UNKNOWN, Math.max(1, unavailable.waitMs()), null);
+            finishUnknown(unavailable.waitMs());
             return;
         }
         context.throttle().onAnswered();
--- a/src/test/java/bramblespool/coordination/tenancy/BucketHolderTest.java
+++ b/src/test/java/bramblespool/coordination/tenancy/BucketHolderTest.java
@@ -156,9 +156,18 @@
         assertEquals("p:1 run", message.holder());
         assertTrue(message.tokens().get("t") > 1 && message.tokens().get("t") < all, message.toString());
         assertTrue(holder.takeToken(REQUEST).isUndecided());
+        clock.advance(timings.leaseMs());
         assertNull(holder.candidate());
     }
 
+    @Test
+    void takesNoBucketsRightAfterItsStart() {
+        clock.advance(timings.leaseMs() - 1);
+        assertNull(holder.candidate());
+        clock.advance(1);
+        assertEquals("p:1 run", holder.candidate());
+    }
+
     @Test
     void answersOtherDaemons() {
         hold();
