SHORT: a shard's owner that is late once goes on refreshing its registers

Cause: refreshOwned found, shard by shard, whether the lease is valid; where it lapsed just then, the first shard gave up all, and the second one's owner was null. The exception ended the timer, and the registers of shards owned later were forgotten. Change: the lease is looked at once for all shards.

--- a/src/main/java/bramblespool/coordination/tenancy/BucketHolder.java
+++ b/src/main/java/bramblespool/coordination/tenancy/BucketHolder.java
@@ -78,8 +78,8 @@
     }
 
     /**
-     * How this proxy names itself as a possible holder; null where it takes no buckets: it is shutting down, or has just
-     * started and is slow.
+     * How this proxy names itself as a possible holder; null where it takes no buckets: it is shutting down, or it has
+     * just started and is slow.
      */
     String candidate() {
         boolean hasJustStarted = clock.nowMs() - startedAtMs < timings.leaseMs();
--- a/src/main/java/bramblespool/coordination/tenancy/ShardLeases.java
+++ b/src/main/java/bramblespool/coordination/tenancy/ShardLeases.java
@@ -10,10 +10,8 @@
 import bramblespool.transport.PeerTransport;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -273,11 +271,13 @@
 
     /** Writes the registers of the shards owned here anew, before they are forgotten. */
     private void refreshOwned() {
-        List<String> shards = new ArrayList<>(owners.keySet());
-        for (String shard : shards) {
-            ShardOwner owner = owners.get(shard);
-            if (isOwn(owner) && hasLease() && acquiringShards.add(shard)) {
-                takeFrom(shard, owner, startedAtMs);
+        if (!hasLease()) {
+            return;
+        }
+        for (ShardOwnership ownership : currentOwnerships()) {
+            String shard = ownership.shard();
+            if (acquiringShards.add(shard)) {
+                takeFrom(shard, owners.get(shard), startedAtMs);
             }
         }
     }
