--- a/src/test/java/bramblespool/cluster/ShardRefreshTest.java
+++ b/src/test/java/bramblespool/cluster/ShardRefreshTest.java
@@ -41,7 +41,7 @@
         return status[0].path("slices").asInt();
     }
 
-    /** Guards against SHORT: an owner that is late once does not refresh its shards any more, and they are forgotten. */
+    /** Guards against SHORT: an owner that is late once refreshes its shards no more, and they are forgotten. */
     @Test
     void leaseThatLapsesRightBeforeARefreshEndsNoRefresh() {
         long freezeMs = 600;
