Lent buckets: leases outlast a restart of all controllers

A lease of 0.6 of quiet lapses while a majority of controllers restarts, and then its group waits for the next owner and for what the former one may have lent: reservations need a token, too, and would rest longer than before. A lease is twice quiet now. The longer ago its last renewal is, the less of the rate a holder grants, and the more the owner may beside it: half from 0.4 of quiet on, nine tenths from 0.6 on. So a lost holder's tenants go on at most of their rate, and one that was only out of reach keeps its buckets. A proxy's new process ends the leases of its former one.

--- a/src/main/java/bramblespool/coordination/controller/TokenIssuer.java
+++ b/src/main/java/bramblespool/coordination/controller/TokenIssuer.java
@@ -144,6 +144,7 @@
                     request.tenant(),
                     ownership.term(),
                     lender.ownedSinceMs(ownership),
+                    (fromMs, toMs) -> lender.ownerShareMs(ownership, group, fromMs, toMs),
                     request.ratePerSecond(),
                     request.burst());
             return isGranted
@@ -159,7 +160,8 @@
                     isUntouched,
                     request.epoch(),
                     request.ratePerSecond(),
-                    request.burst());
+                    request.burst(),
+                    1);
             return waitMs == 0 ? new AdmissionResponse.Admitted() : new AdmissionResponse.RateLimited(waitMs);
         }
 
--- a/src/main/java/bramblespool/coordination/tenancy/BucketHolder.java
+++ b/src/main/java/bramblespool/coordination/tenancy/BucketHolder.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * The token buckets that this proxy holds for their shards' owners: grants tokens from them to every proxy, and renews
@@ -26,6 +27,7 @@
         private final boolean isFull;
         private String shardOwner;
         private long validUntilMs;
+        private long renewalAskedAtMs = Long.MIN_VALUE / 2;
         private long lastUsedMs;
         /** Whether controllers are being asked in turn, since one did not renew the lease. */
         private boolean isReattaching;
@@ -82,7 +84,7 @@
      * just started and is slow.
      */
     String candidate() {
-        boolean hasJustStarted = clock.nowMs() - startedAtMs < timings.leaseMs();
+        boolean hasJustStarted = clock.nowMs() - startedAtMs < timings.startDelayMs();
         return isReturning || hasJustStarted ? null : holderId;
     }
 
@@ -113,12 +115,22 @@
         HeldGroup held = groups.get(group);
         held.lastUsedMs = clock.nowMs();
         long waitMs = rateLimiter.takeToken(
-                request.tenant(), held.term, held.isFull, request.epoch(), request.ratePerSecond(), request.burst());
+                request.tenant(),
+                held.term,
+                held.isFull,
+                request.epoch(),
+                request.ratePerSecond(),
+                request.burst(),
+                rateShare(held));
         return waitMs == 0
                 ? AdmissionResponse.ADMITTED
                 : new AdmissionResponse(new AdmissionResponse.RateLimited(waitMs), null);
     }
 
+    private double rateShare(HeldGroup held) {
+        return BucketLeaseTimings.holderShare(clock.nowMs() - held.renewalAskedAtMs, timings.leaseMs());
+    }
+
     /** Serves another daemon's request for a token. */
     public void handleTokenRequest(JsonNode body, Consumer<ObjectNode> callback) {
         TokenRequest request = AdmissionCodec.TOKEN_CODEC.decodeRequest(body);
@@ -146,10 +158,21 @@
         }
         held.shardOwner = shardOwner;
         held.lastUsedMs = clock.nowMs();
-        held.validUntilMs = Math.max(held.validUntilMs, askedAtMs + BucketLeaseTimings.holderLeaseMs(grant.leaseMs()));
+        extend(group, held, askedAtMs, grant.leaseMs());
         log.log(Event.BUCKETS_ACQUIRED, "group", group, "owner", shardOwner, "continued", grant.isContinued());
     }
 
+    private void extend(String group, HeldGroup held, long askedAtMs, long leaseMs) {
+        // What was gained until now was gained at the share that counted until now.
+        rateLimiter.refillBuckets(isOfGroup(group), rateShare(held));
+        held.validUntilMs = Math.max(held.validUntilMs, askedAtMs + BucketLeaseTimings.holderLeaseMs(leaseMs));
+        held.renewalAskedAtMs = Math.max(held.renewalAskedAtMs, askedAtMs);
+    }
+
+    private static Predicate<String> isOfGroup(String group) {
+        return tenant -> TenantSharding.groupOf(tenant).equals(group);
+    }
+
     private void renewAll() {
         Map<String, List<String>> groupsByOwner = new HashMap<>();
         long nowMs = clock.nowMs();
@@ -192,8 +215,7 @@
         if (result.renewedGroups().contains(group)) {
             held.isReattaching = false;
             held.shardOwner = controller;
-            held.validUntilMs =
-                    Math.max(held.validUntilMs, askedAtMs + BucketLeaseTimings.holderLeaseMs(timings.leaseMs()));
+            extend(group, held, askedAtMs, timings.leaseMs());
             return;
         }
         held.isReattaching = true;
@@ -230,8 +252,7 @@
                 giveBack(
                         group,
                         held.shardOwner,
-                        rateLimiter.removeBuckets(
-                                tenant -> TenantSharding.groupOf(tenant).equals(group), held.term));
+                        rateLimiter.removeBuckets(isOfGroup(group), held.term, rateShare(held)));
             }
         });
         groups.clear();
--- a/src/main/java/bramblespool/coordination/tenancy/BucketLender.java
+++ b/src/main/java/bramblespool/coordination/tenancy/BucketLender.java
@@ -92,6 +92,16 @@
                 && clock.nowMs() < ownership.formerOwnerEndedMs() + leaseMs;
     }
 
+    /**
+     * The time at the whole rate that comes to what the owner may grant, between two times, beside a holder that does not
+     * renew its lease, or may be there without being known.
+     */
+    public double ownerShareMs(ShardOwnership ownership, String group, long fromMs, long toMs) {
+        Lease lease = shard(ownership).leases.get(group);
+        long renewedAtMs = isLive(lease) ? lease.expiresAtMs - leaseMs : ownership.formerOwnerEndedMs();
+        return BucketLeaseTimings.ownerShareMs(fromMs - renewedAtMs, toMs - renewedAtMs, leaseMs);
+    }
+
     /** Whether nobody has granted tokens of the group, neither this owner nor a holder: its buckets are full. */
     public boolean isUntouched(ShardOwnership ownership, String group) {
         return ownership.isFirst() && !shard(ownership).leases.containsKey(group);
@@ -105,23 +115,34 @@
      * @param maxGroups how many groups one proxy may have from this owner
      */
     public Optional<BucketGrant> lend(ShardOwnership ownership, String group, String candidate, int maxGroups) {
+        endFormerRun(candidate);
         Shard shard = shard(ownership);
         Lease lease = shard.leases.get(group);
         boolean isOwn = lease != null && lease.isOf(candidate);
-        boolean isHeldByOther = isLive(lease) && !isOwn && !isFormerRun(lease.holder, candidate);
+        boolean isHeldByOther = isLive(lease) && !isOwn;
         if (isHeldByOther || mayBeLentByFormerOwner(ownership, group) || !isOwn && groupsOf(candidate) >= maxGroups) {
             return Optional.empty();
         }
         boolean isFull = isUntouched(ownership, group);
         Map<String, Double> tokens = rateLimiter.removeBuckets(
-                tenant -> TenantSharding.groupOf(tenant).equals(group), ownership.term());
+                tenant -> TenantSharding.groupOf(tenant).equals(group), ownership.term(), 1);
         put(shard, group, candidate);
         return Optional.of(new BucketGrant(leaseMs, isOwn, isFull, tokens));
     }
 
-    /** A process that was at this address before has ended, whatever its lease says: the address was free. */
-    private static boolean isFormerRun(String holder, String candidate) {
-        return addressOf(holder).equals(addressOf(candidate));
+    /** A process that was at this address before has ended, whatever its leases say: the address was free. */
+    private void endFormerRun(String candidate) {
+        String address = addressOf(candidate);
+        for (Shard shard : shards.values()) {
+            for (Lease lease : shard.leases.values()) {
+                if (lease.holder != null
+                        && !lease.isOf(candidate)
+                        && addressOf(lease.holder).equals(address)) {
+                    lease.holder = null;
+                    mapVersion++;
+                }
+            }
+        }
     }
 
     private static String addressOf(String holder) {
--- a/src/main/java/bramblespool/coordination/tenancy/TenantRateLimiter.java
+++ b/src/main/java/bramblespool/coordination/tenancy/TenantRateLimiter.java
@@ -65,10 +65,17 @@
      * a proxy has asked.
      *
      * @param isFirstOwner whether no owner granted tokens of the shard before this term
+     * @param rateShare the part of the rate that is granted here now
      * @return 0 where the token is granted, else after how many milliseconds to ask again
      */
     public long takeToken(
-            String tenant, long ownershipTerm, boolean isFirstOwner, long epoch, double ratePerS, double burst) {
+            String tenant,
+            long ownershipTerm,
+            boolean isFirstOwner,
+            long epoch,
+            double ratePerS,
+            double burst,
+            double rateShare) {
         long nowMs = clock.nowMs();
         TokenBucket bucket = buckets.computeIfAbsent(tenant, t -> new TokenBucket());
         if (epoch >= bucket.epoch) {
@@ -81,7 +88,7 @@
             bucket.tokens = isFirstOwner ? capacity(bucket) : 1;
             bucket.refilledAtMs = nowMs;
         }
-        refill(bucket);
+        refill(bucket, rateShare);
         boolean isGranted = bucket.tokens >= 1;
         bucket.denialRatio += DENIAL_SMOOTHING * ((isGranted ? 0 : 1) - bucket.denialRatio);
         if (isGranted) {
@@ -95,9 +102,15 @@
         return (long) (waitMs * (0.75 + clock.random() / 2));
     }
 
-    private void refill(TokenBucket bucket) {
+    private void refill(TokenBucket bucket, double rateShare) {
         long nowMs = clock.nowMs();
-        double gained = (nowMs - bucket.refilledAtMs) / 1000.0 * bucket.ratePerS * (1 + excessRatio * OWNER_SHARE);
+        double ratePerS = bucket.ratePerS * (1 + excessRatio * OWNER_SHARE) * rateShare;
+        double gained = (nowMs - bucket.refilledAtMs) / 1000.0 * ratePerS;
+        if (bucket.epoch < 0) {
+            // Taken over, and not asked for yet: its limit is not known.
+            bucket.refilledAtMs = nowMs;
+            return;
+        }
         bucket.tokens = Math.min(capacity(bucket), bucket.tokens + gained);
         bucket.refilledAtMs = nowMs;
     }
@@ -107,7 +120,7 @@
      *
      * @return what is left in those that were used in this term
      */
-    Map<String, Double> removeBuckets(Predicate<String> isRemoved, long ownershipTerm) {
+    Map<String, Double> removeBuckets(Predicate<String> isRemoved, long ownershipTerm, double rateShare) {
         Map<String, Double> tokens = new HashMap<>();
         buckets.entrySet().removeIf(entry -> {
             TokenBucket bucket = entry.getValue();
@@ -115,7 +128,7 @@
                 return false;
             }
             if (bucket.ownershipTerm == ownershipTerm) {
-                refill(bucket);
+                refill(bucket, rateShare);
                 tokens.put(entry.getKey(), bucket.tokens);
             }
             return true;
@@ -123,6 +136,15 @@
         return tokens;
     }
 
+    /** Adds to some tenants' buckets what they have gained at this part of the rate, before another part counts. */
+    void refillBuckets(Predicate<String> isRefilled, double rateShare) {
+        buckets.forEach((tenant, bucket) -> {
+            if (isRefilled.test(tenant)) {
+                refill(bucket, rateShare);
+            }
+        });
+    }
+
     /** Takes over what another one has left in buckets; from now on they are granted here, in this term. */
     void putBuckets(Map<String, Double> tokens, long ownershipTerm) {
         tokens.forEach((tenant, left) -> {
@@ -142,7 +164,7 @@
     public boolean takeVoterFallbackToken(String tenant, int shareCount, double ratePerS, double burst) {
         double share = allowance(ratePerS, burst) * VOTERS_FALLBACK_SHARE / shareCount;
         // Empty: a new process does not know what an earlier one has spent.
-        return takeShareToken(votersFallbackBuckets, tenant, 0, startedAtMs, share);
+        return takeShareToken(shareBucket(votersFallbackBuckets, tenant, 0, startedAtMs), share);
     }
 
     /**
@@ -151,11 +173,19 @@
      *
      * @param ownershipTerm the term of owning the shard
      * @param ownedSinceMs when that began; what a former owner has spent before is not known
+     * @param ownerShare what the holder leaves of the rate to the owner
      */
     public boolean takeOwnerFallbackToken(
-            String tenant, long ownershipTerm, long ownedSinceMs, double ratePerS, double burst) {
+            String tenant,
+            long ownershipTerm,
+            long ownedSinceMs,
+            OwnerShare ownerShare,
+            double ratePerS,
+            double burst) {
         double share = allowance(ratePerS, burst) * OWNER_FALLBACK_SHARE;
-        return takeShareToken(ownersFallbackBuckets, tenant, ownershipTerm, ownedSinceMs, share);
+        TokenBucket bucket = shareBucket(ownersFallbackBuckets, tenant, ownershipTerm, ownedSinceMs);
+        bucket.tokens += ownerShare.wholeRateMs(bucket.refilledAtMs, clock.nowMs()) / 1000.0 * ratePerS;
+        return takeShareToken(bucket, share);
     }
 
     /** How many tokens the rule allows in a window beyond the limit. */
@@ -163,17 +193,21 @@
         return (ratePerS * windowMs / 1000 + burst) * excessRatio + burstAllowance;
     }
 
-    /** The bucket holds half of the share and gains half of it in a window, so no window has more than the share. */
-    private boolean takeShareToken(
-            Map<String, TokenBucket> shareBuckets, String tenant, long term, long emptySinceMs, double share) {
-        long nowMs = clock.nowMs();
+    private TokenBucket shareBucket(
+            Map<String, TokenBucket> shareBuckets, String tenant, long term, long emptySinceMs) {
         TokenBucket bucket = shareBuckets.get(tenant);
         if (bucket == null || bucket.ownershipTerm != term) {
             bucket = new TokenBucket();
             bucket.ownershipTerm = term;
-            bucket.refilledAtMs = Math.max(emptySinceMs, nowMs - windowMs);
+            bucket.refilledAtMs = Math.max(emptySinceMs, clock.nowMs() - windowMs);
             shareBuckets.put(tenant, bucket);
         }
+        return bucket;
+    }
+
+    /** The bucket holds half of the share and gains half of it in a window, so no window has more than the share. */
+    private boolean takeShareToken(TokenBucket bucket, double share) {
+        long nowMs = clock.nowMs();
         bucket.tokens =
                 Math.min(share / 2, bucket.tokens + (double) (nowMs - bucket.refilledAtMs) / windowMs * share / 2);
         bucket.refilledAtMs = nowMs;
--- a/src/test/java/bramblespool/coordination/tenancy/BucketLenderTest.java
+++ b/src/test/java/bramblespool/coordination/tenancy/BucketLenderTest.java
@@ -85,6 +85,46 @@
         assertTrue(lend(takenOver, OTHER).isPresent());
     }
 
+    @Test
+    void ownerSharesTheRateWithAHolderThatDoesNotRenew() {
+        lend(FIRST, HOLDER);
+        clock.advance(LEASE_MS / 2);
+        lender.renew(FIRST, GROUP, HOLDER);
+        long renewedAtMs = clock.nowMs();
+        assertEquals(0, lender.ownerShareMs(FIRST, GROUP, 0, renewedAtMs + 200));
+        assertEquals(50, lender.ownerShareMs(FIRST, GROUP, 0, renewedAtMs + 300), 1e-6, "half");
+        assertEquals(50 + 90, lender.ownerShareMs(FIRST, GROUP, 0, renewedAtMs + 400), 1e-6, "nine tenths");
+        assertEquals(90, lender.ownerShareMs(FIRST, GROUP, renewedAtMs + 300, renewedAtMs + 400), 1e-6);
+        long endedMs = takenOver.formerOwnerEndedMs();
+        assertEquals(50, lender.ownerShareMs(takenOver, GROUP, 0, endedMs + 300), 1e-6, "one may be there");
+    }
+
+    /** Guards against QUOTA: at no age do holder and owner have more than the rate. */
+    @Test
+    void sharesOfHolderAndOwnerAreOneAtMost() {
+        for (long ageMs = 0; ageMs < LEASE_MS; ageMs++) {
+            double ownerShare = BucketLeaseTimings.ownerShareMs(ageMs, ageMs + 1, LEASE_MS);
+            double holderShare = BucketLeaseTimings.holderShare(ageMs, LEASE_MS);
+            assertTrue(ownerShare + holderShare <= 1 + 1e-9, ownerShare + " and " + holderShare + " at " + ageMs);
+        }
+        assertEquals(0.1, BucketLeaseTimings.holderShare(LEASE_MS / 2, LEASE_MS));
+    }
+
+    @Test
+    void ownersShareComesOnTopOfItsFallback() {
+        long nowMs = clock.nowMs();
+        double fallback = ((100 * 5 + 100) * 0.1 + 20) * 0.6;
+        int granted = 0;
+        for (int elapsedMs = 0; elapsedMs < 5000; elapsedMs += 10) {
+            clock.advance(10);
+            granted += rateLimiter.takeOwnerFallbackToken(
+                            TENANT, 1, nowMs, (from, to) -> Math.max(0, to - Math.max(from, nowMs + 4000)), 100, 100)
+                    ? 1
+                    : 0;
+        }
+        assertTrue(granted <= fallback + 100 + 1 && granted > 100, granted + " granted, fallback " + fallback);
+    }
+
     @Test
     void returnedTokensAreLentToTheNext() {
         lend(FIRST, HOLDER);
