--- a/src/main/java/bramblespool/coordination/tenancy/BucketLeaseTimings.java
+++ b/src/main/java/bramblespool/coordination/tenancy/BucketLeaseTimings.java
@@ -27,8 +27,8 @@
 
     private static final int CALL_TIMEOUT_DIVISOR = 16;
     /**
-     * A holder counts its rights for this part of them, from when it asked. The rest is longer than a call's time-out: a
-     * renewal that was asked for in time is answered before anybody else can get the buckets, or grant from them.
+     * A holder counts its rights for this part of them, from when it asked. The rest is longer than a call's time-out:
+     * a renewal that was asked for in time is answered before anybody else can get the buckets, or grant from them.
      */
     private static final double HOLDER_FRACTION = 0.8;
 
--- a/src/main/java/bramblespool/coordination/tenancy/BucketLender.java
+++ b/src/main/java/bramblespool/coordination/tenancy/BucketLender.java
@@ -93,8 +93,8 @@
     }
 
     /**
-     * The time at the whole rate that comes to what the owner may grant, between two times, beside a holder that does not
-     * renew its lease, or may be there without being known.
+     * The time at the whole rate that comes to what the owner may grant, between two times, beside a holder that does
+     * not renew its lease, or may be there without being known.
      */
     public double ownerShareMs(ShardOwnership ownership, String group, long fromMs, long toMs) {
         Lease lease = shard(ownership).leases.get(group);
