--- a/src/main/java/bramblespool/coordination/tenancy/AdmissionClient.java
+++ b/src/main/java/bramblespool/coordination/tenancy/AdmissionClient.java
@@ -75,6 +75,11 @@
         }
     }
 
+    /** The name of a tenant's shard, see {@link TenantSharding#shardOf}. */
+    public static String shardOf(String tenant) {
+        return TenantSharding.shardOf(tenant);
+    }
+
     /**
      * The register of an idempotency key: the shard and a digest of tenant and key, neither of which is sent in clear.
      */
