QUOTA: a former holder begins anew where the owner has granted since

Cause: the owner did not note that it grants from a lapsed lease's buckets itself, so a former holder that asked again went on with what it had, filled up since. Found by reading. LapsedBucketsTest: kept was true before, false now.

--- a/src/main/java/bramblespool/coordination/controller/TokenIssuer.java
+++ b/src/main/java/bramblespool/coordination/controller/TokenIssuer.java
@@ -154,6 +154,7 @@
 
         private AdmissionResponse.Verdict takeOwnToken() {
             boolean isUntouched = lender.isUntouched(ownership, group);
+            lender.markTouched(ownership, group);
             long waitMs = rateLimiter.takeToken(
                     request.tenant(),
                     ownership.term(),
--- a/src/main/java/bramblespool/coordination/tenancy/BucketLender.java
+++ b/src/main/java/bramblespool/coordination/tenancy/BucketLender.java
@@ -197,7 +197,10 @@
 
     /** Notes that the owner grants tokens of the group itself: whoever had them before begins anew. */
     public void markTouched(ShardOwnership ownership, String group) {
-        shard(ownership).leases.computeIfAbsent(group, g -> new Lease()).holder = null;
+        Lease lease = shard(ownership).leases.get(group);
+        if (lease != null) {
+            lease.holder = null;
+        }
     }
 
     /** Who has which buckets of the shards, as far as they were lent here. */
