--- a/src/main/java/bramblespool/coordination/controller/GossipPayloadCodec.java
+++ b/src/main/java/bramblespool/coordination/controller/GossipPayloadCodec.java
@@ -18,7 +18,7 @@
     private static final String ZONE = "zone";
     private static final String HAS_LEFT = "gone";
     private static final String IS_VOTER = "voter";
-    /** Whether the controller knows of token buckets that proxies hold; versions before 0.7 do not. */
+    /** Whether the controller knows of token buckets that proxies hold; earlier versions do not. */
     private static final String LENDS_BUCKETS = "lends";
     /** Fields of a proxy's own entry: its endpoints, and the ids of the servers behind one, separated by spaces. */
     private static final String ENDPOINTS = "doors";
--- a/src/main/java/bramblespool/coordination/register/RegisterVoters.java
+++ b/src/main/java/bramblespool/coordination/register/RegisterVoters.java
@@ -100,7 +100,7 @@
     }
 
     /** The shard that a register belongs to: its id begins with the shard's number and a slash. */
-    private static String shardOf(String registerId) {
+    public static String shardOf(String registerId) {
         return RegisterProposer.SHARD_KEY_PREFIX + registerId.substring(0, registerId.indexOf('/'));
     }
 }
--- a/src/main/java/bramblespool/coordination/tenancy/AdmissionCodec.java
+++ b/src/main/java/bramblespool/coordination/tenancy/AdmissionCodec.java
@@ -1,5 +1,6 @@
 package bramblespool.coordination.tenancy;
 
+import bramblespool.coordination.register.RegisterVoters;
 import bramblespool.protocol.PeerMessageCodec;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -70,7 +71,7 @@
         TokenRequest tokenRequest = request.tokenRequest();
         IdempotencyClaim claim = request.claim();
         ObjectNode body = tokenRequest == null
-                ? JsonNodeFactory.instance.objectNode().put(SHARD, TenantSharding.shardOfRegister(claim.registerId()))
+                ? JsonNodeFactory.instance.objectNode().put(SHARD, RegisterVoters.shardOf(claim.registerId()))
                 : encodeTokenRequest(tokenRequest);
         if (claim != null) {
             body.put(REGISTER_ID, claim.registerId())
--- a/src/main/java/bramblespool/coordination/tenancy/BucketHolder.java
+++ b/src/main/java/bramblespool/coordination/tenancy/BucketHolder.java
@@ -13,7 +13,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 
 /**
  * The token buckets that this proxy holds for their shards' owners: grants tokens from them to every proxy, and renews
@@ -152,7 +151,7 @@
         HeldGroup held = groups.get(group);
         if (held == null || !grant.isContinued()) {
             lastTerm++;
-            held = new HeldGroup(lastTerm, grant.isFull() && !grant.isContinued());
+            held = new HeldGroup(lastTerm, grant.isFull());
             groups.put(group, held);
             rateLimiter.putBuckets(grant.tokens(), lastTerm);
         }
@@ -164,15 +163,11 @@
 
     private void extend(String group, HeldGroup held, long askedAtMs, long leaseMs) {
         // What was gained until now was gained at the share that counted until now.
-        rateLimiter.refillBuckets(isOfGroup(group), rateShare(held));
+        rateLimiter.refillBuckets(TenantSharding.isInGroup(group), rateShare(held));
         held.validUntilMs = Math.max(held.validUntilMs, askedAtMs + BucketLeaseTimings.holderLeaseMs(leaseMs));
         held.renewalAskedAtMs = Math.max(held.renewalAskedAtMs, askedAtMs);
     }
 
-    private static Predicate<String> isOfGroup(String group) {
-        return tenant -> TenantSharding.groupOf(tenant).equals(group);
-    }
-
     private void renewAll() {
         Map<String, List<String>> groupsByOwner = new HashMap<>();
         long nowMs = clock.nowMs();
@@ -252,7 +247,7 @@
                 giveBack(
                         group,
                         held.shardOwner,
-                        rateLimiter.removeBuckets(isOfGroup(group), held.term, rateShare(held)));
+                        rateLimiter.removeBuckets(TenantSharding.isInGroup(group), held.term, rateShare(held)));
             }
         });
         groups.clear();
--- a/src/main/java/bramblespool/coordination/tenancy/BucketLender.java
+++ b/src/main/java/bramblespool/coordination/tenancy/BucketLender.java
@@ -124,8 +124,7 @@
             return Optional.empty();
         }
         boolean isFull = isUntouched(ownership, group);
-        Map<String, Double> tokens = rateLimiter.removeBuckets(
-                tenant -> TenantSharding.groupOf(tenant).equals(group), ownership.term(), 1);
+        Map<String, Double> tokens = rateLimiter.removeBuckets(TenantSharding.isInGroup(group), ownership.term(), 1);
         put(shard, group, candidate);
         return Optional.of(new BucketGrant(leaseMs, isOwn, isFull, tokens));
     }
--- a/src/main/java/bramblespool/coordination/tenancy/ControllerSelector.java
+++ b/src/main/java/bramblespool/coordination/tenancy/ControllerSelector.java
@@ -1,6 +1,7 @@
 package bramblespool.coordination.tenancy;
 
 import bramblespool.coordination.hashing.RendezvousHash;
+import bramblespool.coordination.register.RegisterVoters;
 import bramblespool.transport.Clock;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -61,7 +62,7 @@
      * any, a different one for each key, for the work of a lost one is to be spread over all that are left.
      */
     String nextForRegister(String registerId, Set<String> asked) {
-        String preferred = RendezvousHash.highestWeighted(TenantSharding.shardOfRegister(registerId), voters.get());
+        String preferred = RendezvousHash.highestWeighted(RegisterVoters.shardOf(registerId), voters.get());
         if (preferred != null && isUsable(preferred, asked)) {
             return preferred;
         }
--- a/src/main/java/bramblespool/coordination/tenancy/PendingAdmission.java
+++ b/src/main/java/bramblespool/coordination/tenancy/PendingAdmission.java
@@ -1,5 +1,6 @@
 package bramblespool.coordination.tenancy;
 
+import bramblespool.coordination.register.RegisterVoters;
 import bramblespool.coordination.tenancy.AdmissionClient.Decision;
 import bramblespool.coordination.tenancy.AdmissionClient.Verdict;
 import bramblespool.transport.Clock;
@@ -191,7 +192,7 @@
     }
 
     private String shard() {
-        return tokenRequest != null ? tokenRequest.shard() : TenantSharding.shardOfRegister(claim.registerId());
+        return tokenRequest != null ? tokenRequest.shard() : RegisterVoters.shardOf(claim.registerId());
     }
 
     private TokenRequest tokenRequestTo(String controller) {
--- a/src/main/java/bramblespool/coordination/tenancy/TenantSharding.java
+++ b/src/main/java/bramblespool/coordination/tenancy/TenantSharding.java
@@ -2,6 +2,7 @@
 
 import bramblespool.coordination.hashing.RendezvousHash;
 import bramblespool.coordination.register.RegisterProposer;
+import java.util.function.Predicate;
 
 /**
  * How tenants are divided: into shards, each of which one controller owns, and each shard into groups, whose token
@@ -34,9 +35,9 @@
         return group.substring(0, group.lastIndexOf(GROUP_SEPARATOR));
     }
 
-    /** The name of the shard that the register of an idempotency key belongs to. */
-    static String shardOfRegister(String registerId) {
-        return RegisterProposer.SHARD_KEY_PREFIX + registerId.substring(0, registerId.indexOf('/'));
+    /** Whether a tenant belongs to the group. */
+    static Predicate<String> isInGroup(String group) {
+        return tenant -> groupOf(tenant).equals(group);
     }
 
     private static long hash(String tenant, long multiplier, int buckets) {
